--- a/scripts/figures.py
+++ b/scripts/figures.py
@@ -308,8 +308,11 @@
 
 
 def log_events(run, name):
-    path = run.deployment.folder / f"{name}.log"
-    return [json.loads(line) for line in path.read_text().splitlines() if line.startswith("{")]
+    """Services log to standard output, stand-ins to standard error."""
+    folder = run.deployment.folder
+    lines = [line for kind in ("log", "out")
+             for line in (folder / f"{name}.{kind}").read_text().splitlines()]
+    return [json.loads(line) for line in lines if line.startswith("{")]
 
 
 def weights(settings, open_run):
--- a/src/limpethatch/connection/control_client.cc
+++ b/src/limpethatch/connection/control_client.cc
@@ -40,10 +40,7 @@
   std::vector<uint64_t> ids;  // Of its attempts.
 };
 
-struct Exchanged {
-  ControlCertainty certainty = ControlCertainty::kNothingDone;
-  wire::ControlReply reply;  // Set if certainty is kDone.
-};
+using Exchanged = ControlClient::Answer;
 
 }  // namespace
 
@@ -53,13 +50,16 @@
       : messenger_(messenger),
         options_(std::move(options)),
         incarnation_(options_.incarnation),
+        endpoints_(options_.replicas),
         replicas_(options_.replicas.size()),
         likely_leader_(std::hash<std::string>()(options_.instance) %
                        options_.replicas.size()) {}
 
   Exchanged Exchange(const Yield& yield,
                      wire::ControlRequest request,
-                     TimePoint deadline);
+                     TimePoint deadline,
+                     Duration patience = {});
+  void AddReplica(const Endpoint& replica);
   void OnReply(const wire::ControlReply& reply);
   void Hello(const Yield& yield, wire::Hello hello, TimePoint deadline);
   std::optional<ControlNews> news() const;
@@ -92,7 +92,8 @@
   std::atomic<uint64_t> incarnation_;
 
   mutable std::mutex mutex_;  // Guards what follows, and waiters' replies.
-  std::vector<Replica> replicas_;
+  std::vector<Endpoint> endpoints_;  // Only grows.
+  std::vector<Replica> replicas_;    // One for each endpoint.
   std::map<uint64_t, Attempt> attempts_;  // By request id.
   uint64_t last_id_ = 0;
   size_t likely_leader_;
@@ -101,20 +102,23 @@
 
 Exchanged ControlClient::Calls::Exchange(const Yield& yield,
                                          wire::ControlRequest request,
-                                         TimePoint deadline) {
+                                         TimePoint deadline,
+                                         Duration patience) {
   request.set_from(options_.instance);
   request.set_incarnation(incarnation_);
   request.set_reply_to(options_.reply_to.ToString());
   auto waiter = std::make_shared<Waiter>(yield.get_executor());
   size_t first = 0;
+  size_t known = 0;
   {
     std::scoped_lock lock(mutex_);
     first = likely_leader_;
+    known = endpoints_.size();
   }
-  ControlRetry retry({.replicas = options_.replicas.size(),
+  ControlRetry retry({.replicas = known,
                       .first = first,
                       .deadline = deadline,
-                      .try_timeout = options_.try_timeout,
+                      .try_timeout = options_.try_timeout + patience,
                       .round_pause = options_.round_pause});
   Exchanged exchanged;
   for (;;) {
@@ -144,8 +148,10 @@
 void ControlClient::Calls::Send(const ControlAction& action,
                                 const std::shared_ptr<Waiter>& waiter,
                                 wire::ControlRequest* request) {
+  Endpoint endpoint;
   {
     std::scoped_lock lock(mutex_);
+    endpoint = endpoints_[action.replica];
     request->set_id(++last_id_);
     attempts_[last_id_] = {waiter, action.attempt, action.replica};
     waiter->ids.push_back(last_id_);
@@ -154,14 +160,15 @@
   }
   wire::Envelope envelope;
   *envelope.mutable_request() = *request;
-  messenger_.Send(options_.replicas[action.replica],
-                  envelope.SerializeAsString());
+  messenger_.Send(endpoint, envelope.SerializeAsString());
 }
 
 void ControlClient::Calls::OnSilent(size_t index) {
   const TimePoint now = Clock::now();
+  Endpoint endpoint;
   {
     std::scoped_lock lock(mutex_);
+    endpoint = endpoints_[index];
     Replica& replica = replicas_[index];
     replica.answer_missed = true;
     if (likely_leader_ == index) {
@@ -174,7 +181,7 @@
     }
     replica.last_reset = now;
   }
-  messenger_.Reset(options_.replicas[index]);
+  messenger_.Reset(endpoint);
 }
 
 std::optional<wire::ControlReply> ControlClient::Calls::TakeReplies(
@@ -202,6 +209,9 @@
 
 void ControlClient::Calls::OnReply(const wire::ControlReply& reply) {
   std::shared_ptr<Waiter> waiter;
+  if (Endpoint leader; ParseEndpoint(reply.leader(), &leader)) {
+    AddReplica(leader);
+  }
   {
     std::scoped_lock lock(mutex_);
     const auto found = attempts_.find(reply.id());
@@ -225,8 +235,8 @@
 
 std::optional<size_t> ControlClient::Calls::IndexOf(
     const std::string& address) const {
-  for (size_t i = 0; i < options_.replicas.size(); ++i) {
-    if (!address.empty() && options_.replicas[i].ToString() == address) {
+  for (size_t i = 0; i < endpoints_.size(); ++i) {
+    if (!address.empty() && endpoints_[i].ToString() == address) {
       return i;
     }
   }
@@ -330,6 +340,26 @@
   return std::move(*exchanged.reply.mutable_burn());
 }
 
+void ControlClient::Calls::AddReplica(const Endpoint& replica) {
+  std::scoped_lock lock(mutex_);
+  if (std::find(endpoints_.begin(), endpoints_.end(), replica) ==
+      endpoints_.end()) {
+    endpoints_.push_back(replica);
+    replicas_.emplace_back();
+  }
+}
+
+void ControlClient::AddReplica(const Endpoint& replica) {
+  calls_->AddReplica(replica);
+}
+
+ControlClient::Answer ControlClient::Ask(Yield yield,
+                                         wire::ControlRequest request,
+                                         TimePoint deadline,
+                                         Duration patience) {
+  return calls_->Exchange(yield, std::move(request), deadline, patience);
+}
+
 void ControlClient::OnReply(const wire::ControlReply& reply) {
   calls_->OnReply(reply);
 }
--- a/src/limpethatch/connection/control_client.h
+++ b/src/limpethatch/connection/control_client.h
@@ -42,7 +42,7 @@
   std::string zone;
   uint64_t incarnation = 0;
   Endpoint reply_to;  // Where this process's messenger listens.
-  std::vector<Endpoint> replicas = {};  // At least one.
+  std::vector<Endpoint> replicas = {};  // At least one; more may be added.
   Duration try_timeout = std::chrono::milliseconds(300);
   Duration round_pause = std::chrono::milliseconds(100);
   Duration hello_period = std::chrono::seconds(1);
@@ -90,6 +90,22 @@
   // std::errc::timed_out.
   Result<wire::BurnReply> Burn(Yield yield, TimePoint deadline);
 
+  // Another replica that may be asked; known ones are ignored.
+  void AddReplica(const Endpoint& replica);
+
+  // Sends the request to the leader and waits for its answer. `patience` is
+  // added to the time that one try may take, for requests that the leader
+  // holds back. Error: std::errc::timed_out if nothing was done or may have
+  // been.
+  struct Answer {
+    ControlCertainty certainty = ControlCertainty::kNothingDone;
+    wire::ControlReply reply;  // Set if certainty is kDone.
+  };
+  Answer Ask(Yield yield,
+             wire::ControlRequest request,
+             TimePoint deadline,
+             Duration patience = {});
+
   // Takes in a reply from the messenger; replies to nothing are ignored.
   void OnReply(const wire::ControlReply& reply);
 
--- a/src/limpethatch/connection/http_client.cc
+++ b/src/limpethatch/connection/http_client.cc
@@ -84,6 +84,26 @@
 
 }  // namespace
 
+void HttpCancel::Cancel() {
+  std::function<void()> action;
+  {
+    const std::lock_guard lock(mutex_);
+    cancelled_ = true;
+    action = action_;
+  }
+  if (action) {
+    action();
+  }
+}
+
+void HttpCancel::Attach(std::function<void()> action) {
+  const std::lock_guard lock(mutex_);
+  action_ = std::move(action);
+  if (cancelled_) {
+    action_();
+  }
+}
+
 HttpClient::HttpClient(boost::asio::io_context& io, HttpClientOptions options)
     : pool_(std::make_shared<Pool>(io, std::move(options))) {}
 
@@ -139,6 +159,13 @@
   auto reader = std::make_shared<HttpResponseReader>(
       pool_, endpoint, std::move(sent.connection), options,
       request.method == "HEAD");
+  if (options.cancel) {
+    options.cancel->Attach([weak = std::weak_ptr(reader)] {
+      if (const auto live = weak.lock()) {
+        live->Cancel();
+      }
+    });
+  }
   outcome.error = reader->ReadHeader(yield);
   if (outcome.error) {
     reader->Abandon();
--- a/src/limpethatch/connection/http_client.h
+++ b/src/limpethatch/connection/http_client.h
@@ -3,7 +3,9 @@
 #define LIMPETHATCH_CONNECTION_HTTP_CLIENT_H_
 
 #include <cstddef>
+#include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 
 #include "limpethatch/connection/http_types.h"
@@ -21,6 +23,22 @@
   kAnswered,  // A whole answer came.
 };
 
+// Ends a call from outside its coroutine.
+class HttpCancel {
+ public:
+  // The call ends with kCancelled, at once or as soon as it begins to wait for
+  // its answer. Safe from any thread.
+  void Cancel();
+
+  // For the client: what ends the present wait.
+  void Attach(std::function<void()> action);
+
+ private:
+  std::mutex mutex_;
+  bool cancelled_ = false;
+  std::function<void()> action_;
+};
+
 struct HttpCallOptions {
   TimePoint deadline = TimePoint::max();
   Duration connect_timeout = std::chrono::milliseconds(1000);
@@ -30,6 +48,8 @@
   // Never reuse an idle connection: for requests that may not run twice, as a
   // reused connection that fails leaves it open whether they ran.
   bool fresh_connection = false;
+  // May be null.
+  std::shared_ptr<HttpCancel> cancel;
 };
 
 struct HttpClientOptions {
--- a/src/limpethatch/connection/http_server.cc
+++ b/src/limpethatch/connection/http_server.cc
@@ -28,7 +28,7 @@
 struct HttpServer::Shared : std::enable_shared_from_this<HttpServer::Shared> {
   Shared(asio::io_context& context, HttpServerLimits set_limits, Handler handle)
       : io(context),
-        serving{set_limits, std::move(handle), {}, {}},
+        serving(set_limits, std::move(handle)),
         acceptor(asio::make_strand(context)) {}
 
   void AcceptLoop(Yield yield);
@@ -61,7 +61,7 @@
       SleepFor(yield, kAcceptRetryDelay);
     } else if (connection->socket().Prepare()) {
       continue;
-    } else if (open_connections >= serving.limits.max_connections) {
+    } else if (open_connections >= serving.Limits().max_connections) {
       connection->socket().socket().write_some(
           asio::buffer(kTooManyConnections), error);
     } else {
@@ -150,13 +150,22 @@
   return {};
 }
 
-void HttpServer::Drain() {
+void HttpServer::SetLimits(const HttpServerLimits& limits) {
+  const std::lock_guard lock(shared_->serving.limits_mutex);
+  shared_->serving.limits = limits;
+}
+
+void HttpServer::EndKeepAlive() {
   shared_->serving.draining = true;
-  shared_->CloseAcceptor();
   shared_->ForEachConnection(
       [](HttpServerConnection& connection) { connection.DrainIfIdle(); });
 }
 
+void HttpServer::Drain() {
+  shared_->CloseAcceptor();
+  EndKeepAlive();
+}
+
 uint16_t HttpServer::port() const {
   return shared_->port;
 }
--- a/src/limpethatch/connection/http_server.h
+++ b/src/limpethatch/connection/http_server.h
@@ -65,7 +65,14 @@
   // The port that Listen bound.
   uint16_t port() const;
 
-  // A planned stop: accepts nothing new, answers what has begun with
+  // Holds for all that is read from now on.
+  void SetLimits(const HttpServerLimits& limits);
+
+  // The first part of a planned stop: answers say "Connection: close" and idle
+  // connections are closed soon, while new ones are still accepted.
+  void EndKeepAlive();
+
+  // The rest of a planned stop: accepts nothing new, answers what has begun with
   // "Connection: close", and closes connections that stay idle.
   void Drain();
 
--- a/src/limpethatch/connection/http_types.cc
+++ b/src/limpethatch/connection/http_types.cc
@@ -4,20 +4,27 @@
 #include <cctype>
 
 namespace limpethatch {
-namespace {
 
-bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
+bool SameHeaderName(std::string_view a, std::string_view b) {
   return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) {
     return std::tolower(static_cast<unsigned char>(x)) ==
            std::tolower(static_cast<unsigned char>(y));
   });
 }
 
-}  // namespace
+void HttpHeaders::Add(std::string_view name, std::string_view value) {
+  fields_.emplace_back(name, value);
+}
+
+void HttpHeaders::Remove(std::string_view name) {
+  std::erase_if(fields_, [name](const auto& field) {
+    return SameHeaderName(field.first, name);
+  });
+}
 
 void HttpHeaders::Set(std::string_view name, std::string_view value) {
   for (auto& [field_name, field_value] : fields_) {
-    if (EqualsIgnoringCase(field_name, name)) {
+    if (SameHeaderName(field_name, name)) {
       field_value = value;
       return;
     }
@@ -27,7 +34,7 @@
 
 std::string_view HttpHeaders::Get(std::string_view name) const {
   for (const auto& [field_name, field_value] : fields_) {
-    if (EqualsIgnoringCase(field_name, name)) {
+    if (SameHeaderName(field_name, name)) {
       return field_value;
     }
   }
--- a/src/limpethatch/connection/internal/http_codec.cc
+++ b/src/limpethatch/connection/internal/http_codec.cc
@@ -31,8 +31,11 @@
         BreaksFrame(value, "\r\n")) {
       return false;
     }
-    if (!IsFrameField(http::string_to_field(name))) {
-      fields->set(name, value);
+    const http::field field = http::string_to_field(name);
+    if (field == http::field::host) {
+      fields->set(field, value);
+    } else if (!IsFrameField(field)) {
+      fields->insert(name, value);
     }
   }
   return true;
@@ -121,7 +124,7 @@
 HttpHeaders DecodeHeaders(const http::fields& fields) {
   HttpHeaders headers;
   for (const auto& field : fields) {
-    headers.Set(std::string_view(field.name_string()),
+    headers.Add(std::string_view(field.name_string()),
                 std::string_view(field.value()));
   }
   return headers;
--- a/src/limpethatch/connection/internal/http_response_reader.cc
+++ b/src/limpethatch/connection/internal/http_response_reader.cc
@@ -146,6 +146,9 @@
 void HttpResponseReader::Cancel() {
   cancelled_ = true;
   const std::lock_guard lock(executor_mutex_);
+  if (!executor_) {
+    return;  // Nothing is read yet; the first read sees the flag.
+  }
   boost::asio::post(executor_, [self = shared_from_this()] {
     if (self->connection_) {
       self->connection_->socket.CancelOperation();
--- a/src/limpethatch/connection/internal/http_server_connection.cc
+++ b/src/limpethatch/connection/internal/http_server_connection.cc
@@ -89,7 +89,7 @@
   std::error_code Write(std::string_view text, State next) {
     size_t written = 0;
     const std::error_code error =
-        socket_->Write(yield_, text, serving_->limits.write_timeout, &written);
+        socket_->Write(yield_, text, serving_->Limits().write_timeout, &written);
     state_ = error ? State::kFailed : next;
     return error;
   }
@@ -121,8 +121,8 @@
     Parser parser;
     parser.eager(true);
     parser.header_limit(
-        static_cast<uint32_t>(serving_->limits.max_header_bytes));
-    parser.body_limit(serving_->limits.max_body_bytes);
+        static_cast<uint32_t>(serving_->Limits().max_header_bytes));
+    parser.body_limit(serving_->Limits().max_body_bytes);
     reuse = ReadRequest(yield, parser) && Handle(yield, parser);
   }
 }
@@ -174,7 +174,7 @@
 bool HttpServerConnection::ReadMore(Yield yield,
                                     const Parser& parser,
                                     TimePoint started) {
-  const HttpServerLimits& limits = serving_->limits;
+  const HttpServerLimits limits = serving_->Limits();
   const bool waiting = !parser.got_some() && buffer_.size() == 0;
   const bool in_body = parser.is_header_done();
   const auto space =
@@ -216,7 +216,7 @@
   *continued = true;
   size_t written = 0;
   socket_.Write(yield, "HTTP/1.1 100 Continue\r\n\r\n",
-                serving_->limits.write_timeout, &written);
+                serving_->Limits().write_timeout, &written);
 }
 
 void HttpServerConnection::Refuse(Yield yield,
@@ -230,7 +230,7 @@
   const auto text = EncodeResponse(response, KeepAlive::kNo, false);
   size_t written = 0;
   if (!text || socket_.Write(yield, text.value(),
-                             serving_->limits.write_timeout, &written)) {
+                             serving_->Limits().write_timeout, &written)) {
     return;
   }
   boost::system::error_code ignored;
--- a/src/limpethatch/connection/internal/http_server_connection.h
+++ b/src/limpethatch/connection/internal/http_server_connection.h
@@ -7,6 +7,9 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <mutex>
+#include <utility>
+
 #include "limpethatch/connection/http_server.h"
 #include "limpethatch/connection/internal/timed_socket.h"
 
@@ -14,7 +17,16 @@
 
 // What all connections of a server have in common.
 struct HttpServing {
-  HttpServerLimits limits;
+  HttpServing(HttpServerLimits set_limits, HttpServer::Handler handle)
+      : limits(set_limits), handler(std::move(handle)) {}
+
+  HttpServerLimits Limits() const {
+    const std::lock_guard lock(limits_mutex);
+    return limits;
+  }
+
+  mutable std::mutex limits_mutex;
+  HttpServerLimits limits;  // Guarded by limits_mutex.
   HttpServer::Handler handler;
   std::atomic<bool> draining = false;
   std::atomic<size_t> active_requests = 0;
--- a/src/limpethatch/process/consensus.h
+++ b/src/limpethatch/process/consensus.h
@@ -97,6 +97,14 @@
   bool HoldsLease(TimePoint now) const;
   // The end of the lease; in the past if there is none.
   TimePoint LeaseEnd(TimePoint now) const;
+  // True if this replica still led at `since`: a quorum has answered a message
+  // that was sent no earlier. Holds without any assumption on clocks, and
+  // what is applied then is no older than what was committed at `since`.
+  bool LedSince(TimePoint since, TimePoint now) const;
+  // The known members are committed, not only proposed.
+  bool MembersCommitted() const { return log_.members_index() <= commit_; }
+  // Another replica to greet, beside the founders and the members.
+  void AddContact(const std::string& id) { contacts_.insert(id); }
   TimePoint leading_since() const { return leading_since_; }
   const std::string& id() const { return options_.id; }
   const std::string& leader() const { return leader_; }
@@ -198,6 +206,7 @@
 
   std::map<std::string, uint64_t> blank_peers_;  // To their disks.
   std::set<std::string> greeted_;  // Have this start on their disks.
+  std::set<std::string> contacts_;
   uint64_t known_members_index_ = 0;
 
   uint64_t incoming_index_ = 0;  // Of the snapshot being received.
--- a/src/limpethatch/process/consensus_election.cc
+++ b/src/limpethatch/process/consensus_election.cc
@@ -194,6 +194,11 @@
                              : from + options_.election_timeout * 9 / 10;
 }
 
+bool Consensus::LedSince(TimePoint since, TimePoint now) const {
+  return leading() && commit_ >= term_start_index_ && applied_ == commit_ &&
+         QuorumAnswered(now) >= since;
+}
+
 bool Consensus::HoldsLease(TimePoint now) const {
   return now < LeaseEnd(now);
 }
--- a/src/limpethatch/process/consensus_members.cc
+++ b/src/limpethatch/process/consensus_members.cc
@@ -232,7 +232,7 @@
 }
 
 void Consensus::TickGreeting() {
-  std::set<std::string> to;
+  std::set<std::string> to = contacts_;
   for (const wire::Member& replica : options_.replicas) {
     to.insert(replica.id());
   }
--- a/src/limpethatch/process/log.cc
+++ b/src/limpethatch/process/log.cc
@@ -1,20 +1,25 @@
 #include "limpethatch/process/log.h"
 
+#include <fcntl.h>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include <boost/json/serialize.hpp>
+#include <cerrno>
 #include <chrono>
-#include <cstdio>
 #include <map>
 #include <mutex>
+#include <string>
+#include <utility>
 
 #include "limpethatch/process/clock.h"
 
 namespace limpethatch {
 namespace {
 
-constexpr int kMaxLinesPerSecond = 20;
+constexpr int kMaxLinesPerSecond = 50;
 
 std::string Quote(std::string_view text) {
   return boost::json::serialize(boost::json::string_view(text));
@@ -27,8 +32,62 @@
   int64_t left_out = 0;
 };
 
+// A descriptor written to without blocking. A line that can't be written at once
+// waits; a full disk or pipe costs lines, never time.
+class Output {
+ public:
+  void Use(int descriptor) {
+    descriptor_ = descriptor;
+    prepared_ = false;
+  }
+
+  void Write(std::string line) {
+    if (!prepared_) {
+      Prepare();
+    }
+    if (waiting_.size() + line.size() > kMaxWaitingBytes) {
+      ++dropped_;
+      return;
+    }
+    if (dropped_ > 0) {
+      waiting_ += fmt::format(
+          R"({{"level":"warning","event":"log_dropped","lines":{}}})" "\n",
+          std::exchange(dropped_, 0));
+    }
+    waiting_ += line;
+    const ssize_t written =
+        ::write(descriptor_, waiting_.data(), waiting_.size());
+    if (written > 0) {
+      waiting_.erase(0, static_cast<size_t>(written));
+    } else if (written < 0 && errno != EAGAIN && errno != EINTR) {
+      waiting_.clear();
+      ++dropped_;
+    }
+  }
+
+ private:
+  // A few hundred lines.
+  static constexpr size_t kMaxWaitingBytes = 64UL * 1024;
+
+  // Only pipes and the like can block; files are left as they are.
+  void Prepare() {
+    prepared_ = true;
+    struct stat status {};
+    if (::fstat(descriptor_, &status) == 0 && !S_ISREG(status.st_mode)) {
+      const int flags = ::fcntl(descriptor_, F_GETFL);
+      ::fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
+    }
+  }
+
+  int descriptor_ = STDERR_FILENO;
+  bool prepared_ = false;
+  std::string waiting_;
+  int64_t dropped_ = 0;
+};
+
 struct LogState {
   std::mutex mutex;
+  Output output;
   std::string prefix;
   LogLevel lowest = LogLevel::kInfo;
   std::map<std::string, EventRate, std::less<>> rates;
@@ -90,12 +149,15 @@
 
 void ConfigureLog(std::string_view program,
                   std::string_view instance,
-                  LogLevel lowest) {
+                  LogLevel lowest,
+                  LogOutput output) {
   LogState& state = State();
   std::scoped_lock lock(state.mutex);
   state.prefix = fmt::format(R"("program":{},"instance":{},)", Quote(program),
                              Quote(instance));
   state.lowest = lowest;
+  state.output.Use(output == LogOutput::kStandardOutput ? STDOUT_FILENO
+                                                        : STDERR_FILENO);
 }
 
 void Log(LogLevel level,
@@ -122,9 +184,7 @@
     line += fmt::format(R"(,"left_out":{})", left_out);
   }
   line += "}\n";
-  // fmt::print would throw where the disk of the log is full: a line that
-  // can't be written is left out.
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  state.output.Write(std::move(line));
 }
 
 bool ParseLogLevel(std::string_view text, LogLevel* level) {
--- a/src/limpethatch/process/log.h
+++ b/src/limpethatch/process/log.h
@@ -1,4 +1,7 @@
-// Structured logs: one JSON object a line on standard error.
+// Structured logs: one JSON object a line, on standard output for services
+// and on standard error for tools that print results. Writing never
+// blocks: where the output takes nothing, a bounded number of bytes waits and
+// further lines are left out and counted.
 #ifndef LIMPETHATCH_PROCESS_LOG_H_
 #define LIMPETHATCH_PROCESS_LOG_H_
 
@@ -32,10 +35,14 @@
   std::string json_;
 };
 
+enum class LogOutput { kStandardOutput, kStandardError };
+
 // Names the process in each later line and sets the lowest level written.
+// Before the first call lines go to standard error.
 void ConfigureLog(std::string_view program,
                   std::string_view instance,
-                  LogLevel lowest);
+                  LogLevel lowest,
+                  LogOutput output = LogOutput::kStandardError);
 
 // Writes one line. Each event name is limited to kMaxLinesPerSecond; the next
 // line of that event after a limited second carries the count left out.
--- /dev/null
+++ b/src/limpethatch/process/member_planner.cc
@@ -0,0 +1,86 @@
+#include "limpethatch/process/member_planner.h"
+
+#include <algorithm>
+#include <map>
+
+namespace limpethatch {
+namespace {
+
+using ReplicaPtr = const KnownReplica*;
+
+bool ShallLeave(const KnownReplica& replica) {
+  return replica.member && (replica.retired || replica.silent);
+}
+
+// Voters that stay, by zone.
+std::map<std::string, int> VotersByZone(
+    const std::vector<KnownReplica>& replicas) {
+  std::map<std::string, int> voters;
+  for (const KnownReplica& replica : replicas) {
+    voters[replica.zone] += replica.votes && !ShallLeave(replica) ? 1 : 0;
+  }
+  return voters;
+}
+
+// The candidate whose zone has the fewest voters.
+ReplicaPtr BestCandidate(const std::vector<KnownReplica>& replicas) {
+  const auto voters = VotersByZone(replicas);
+  ReplicaPtr best = nullptr;
+  for (const KnownReplica& replica : replicas) {
+    if (replica.member || !replica.alive || replica.retired) {
+      continue;
+    }
+    if (!best || voters.at(replica.zone) < voters.at(best->zone)) {
+      best = &replica;
+    }
+  }
+  return best;
+}
+
+// Of more voters than wanted, the one to remove.
+ReplicaPtr Surplus(const std::vector<KnownReplica>& replicas) {
+  const auto voters = VotersByZone(replicas);
+  const auto rank = [&](const KnownReplica& replica) {
+    return std::pair(replica.silent * 2 + replica.retired,
+                     voters.at(replica.zone));
+  };
+  ReplicaPtr worst = nullptr;
+  for (const KnownReplica& replica : replicas) {
+    if (replica.member && (!worst || rank(replica) > rank(*worst))) {
+      worst = &replica;
+    }
+  }
+  return worst;
+}
+
+}  // namespace
+
+std::optional<MemberChange> PlanMembers(
+    const std::vector<KnownReplica>& replicas,
+    size_t wanted) {
+  size_t members = 0;
+  bool leaving = false;
+  bool settling = false;
+  for (const KnownReplica& replica : replicas) {
+    members += replica.member ? 1 : 0;
+    leaving = leaving || ShallLeave(replica);
+    settling = settling || (replica.member && replica.alive && !replica.votes);
+  }
+  if (settling) {
+    return std::nullopt;
+  }
+  if (members > wanted) {
+    const KnownReplica* surplus = Surplus(replicas);
+    return MemberChange{MemberChange::Kind::kRemove, surplus->id, {}};
+  }
+  if (members == wanted && !leaving) {
+    return std::nullopt;
+  }
+  if (const KnownReplica* candidate = BestCandidate(replicas)) {
+    return MemberChange{MemberChange::Kind::kAdd, candidate->id,
+                        candidate->endpoint};
+  }
+  return std::nullopt;
+}
+
+}  // namespace limpethatch
--- a/src/limpethatch/process/metrics_text.cc
+++ b/src/limpethatch/process/metrics_text.cc
@@ -11,6 +11,8 @@
       return "counter";
     case MetricType::kGauge:
       return "gauge";
+    case MetricType::kHistogram:
+      return "histogram";
     default:
       return "summary";
   }
--- a/src/limpethatch/process/metrics_text.h
+++ b/src/limpethatch/process/metrics_text.h
@@ -9,7 +9,7 @@
 
 namespace limpethatch {
 
-enum class MetricType { kCounter, kGauge, kSummary };
+enum class MetricType { kCounter, kGauge, kHistogram, kSummary };
 
 class MetricsText {
  public:
--- a/src/limpethatch/request/ledgers.cc
+++ b/src/limpethatch/request/ledgers.cc
@@ -17,6 +17,9 @@
 
 wire::CommandResult Ledgers::Apply(const wire::Command& command) {
   wire::CommandResult result;
+  if (fleet_.Apply(command, &result)) {
+    return result;
+  }
   switch (command.kind_case()) {
     case wire::Command::kManifestApply:
       *result.mutable_manifest() = manifest_.Apply(
@@ -123,6 +126,7 @@
   for (const std::string& holder : gone_.holders()) {
     snapshot.add_gone(holder);
   }
+  *snapshot.mutable_fleet() = fleet_.Snapshot();
   return snapshot.SerializeAsString();
 }
 
@@ -134,6 +138,7 @@
   manifest_.Restore(snapshot.manifest());
   claims_.Restore(snapshot.claims());
   steps_.Restore(snapshot.steps());
+  fleet_.Restore(snapshot.fleet());
   step_names_.clear();
   for (const wire::StepSnapshot& step : snapshot.steps().steps()) {
     step_names_.emplace(step.open().trainer(), step.open().step());
--- a/src/limpethatch/request/ledgers.h
+++ b/src/limpethatch/request/ledgers.h
@@ -15,6 +15,7 @@
 #include "ledger.pb.h"
 #include "limpethatch/process/state_machine.h"
 #include "limpethatch/request/claim_ledger.h"
+#include "limpethatch/version/fleet_ledger.h"
 #include "limpethatch/version/gone_holders.h"
 #include "limpethatch/version/manifest.h"
 #include "limpethatch/version/manifest_register.h"
@@ -39,6 +40,7 @@
   const ManifestRegister& manifest() const { return manifest_; }
   const ClaimLedger& claims() const { return claims_; }
   const StepLedger& steps() const { return steps_; }
+  const FleetLedger& fleet() const { return fleet_; }
   // Trainer and name of each step that may be open.
   const std::set<std::pair<std::string, std::string>>& step_names() const {
     return step_names_;
@@ -62,6 +64,7 @@
   ManifestRegister manifest_;
   ClaimLedger claims_;
   StepLedger steps_;
+  FleetLedger fleet_;
   std::set<std::pair<std::string, std::string>> step_names_;
   std::set<std::string> holders_;
   GoneHolders gone_;
--- /dev/null
+++ b/src/limpethatch/request/route_table.h
@@ -0,0 +1,43 @@
+// Finds the declared route of a request.
+#ifndef LIMPETHATCH_REQUEST_ROUTE_TABLE_H_
+#define LIMPETHATCH_REQUEST_ROUTE_TABLE_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fleet.pb.h"
+
+namespace limpethatch {
+
+// One configuration prepared for look-ups; immutable.
+class RouteTable {
+ public:
+  explicit RouteTable(wire::FleetConfiguration configuration);
+
+  uint64_t version() const { return configuration_.version(); }
+  const wire::FleetConfiguration& configuration() const {
+    return configuration_;
+  }
+  // The route of that host with the longest prefix that begins the path; null
+  // if there is none. Hosts compare without regard to case or port.
+  const wire::Route* Match(std::string_view host, std::string_view path) const;
+  // The route's service for a uniform `random`, in proportion to the weights.
+  static const std::string& ServiceFor(const wire::Route& route,
+                                       uint64_t random);
+  // Null if it is not declared.
+  const wire::ServiceDeclaration* Service(std::string_view name) const;
+
+ private:
+  wire::FleetConfiguration configuration_;
+  // By host; longest prefix first.
+  std::map<std::string, std::vector<const wire::Route*>, std::less<>> by_host_;
+};
+
+using RouteTablePtr = std::shared_ptr<const RouteTable>;
+
+}  // namespace limpethatch
+
+#endif  // LIMPETHATCH_REQUEST_ROUTE_TABLE_H_
--- /dev/null
+++ b/src/limpethatch/version/engine_board.cc
@@ -0,0 +1,142 @@
+#include "limpethatch/version/engine_board.h"
+
+#include <algorithm>
+
+namespace limpethatch {
+namespace {
+
+// Weight of the newest gap in the smoothed one.
+constexpr double kGapWeight = 0.2;
+
+}  // namespace
+
+uint64_t EngineState::OpenVersion(std::string_view model, TimePoint now) const {
+  const auto found = models.find(model);
+  if (found == models.end() || now < found->second.closed_until) {
+    return 0;
+  }
+  const EngineModel& held = found->second;
+  return held.loading_version != 0 ? held.loading_version : held.version;
+}
+
+void EngineBoard::Announce(const wire::TargetRecord& record) {
+  if (record.gone() || record.draining() || record.weights().empty()) {
+    Drop(record.id());
+    return;
+  }
+  Endpoint address;
+  if (!ParseEndpoint(record.address(), &address)) {
+    return;
+  }
+  EngineState& engine = engines_[record.id()];
+  if (engine.born_ms != record.born_ms()) {
+    // Runs there ended with the former life and are counted out by their own.
+    engine.models.clear();
+    engine.event_gap = {};
+    engine.avoid_until = {};
+    engine.avoid_for = {};
+  }
+  engine.id = record.id();
+  engine.address = address;
+  engine.service = record.service();
+  engine.zone = record.zone();
+  engine.slots = std::max<uint32_t>(record.slots(), 1);
+  engine.born_ms = record.born_ms();
+  if (const auto tokens = cache_tokens_.find(record.service());
+      tokens != cache_tokens_.end()) {
+    engine.cache_tokens = tokens->second;
+  }
+  for (const wire::ModelWeights& weights : record.weights()) {
+    EngineModel& model = engine.models[weights.model()];
+    model.version = std::max(model.version, weights.version());
+    if (model.loading_version != 0 && model.version >= model.loading_version) {
+      model.loading_version = 0;
+      model.closed_until = {};
+    }
+  }
+}
+
+void EngineBoard::Drop(std::string_view id) {
+  if (const auto found = engines_.find(id); found != engines_.end()) {
+    engines_.erase(found);
+  }
+}
+
+void EngineBoard::SetCacheTokens(const std::string& service, uint64_t tokens) {
+  cache_tokens_[service] = tokens;
+  for (auto& [id, engine] : engines_) {
+    if (engine.service == service) {
+      engine.cache_tokens = tokens;
+    }
+  }
+}
+
+EngineState* EngineBoard::Find(std::string_view id) {
+  const auto found = engines_.find(id);
+  return found == engines_.end() ? nullptr : &found->second;
+}
+
+void EngineBoard::Prove(std::string_view id,
+                        std::string_view model,
+                        uint64_t version) {
+  EngineState* engine = Find(id);
+  if (!engine) {
+    return;
+  }
+  const auto found = engine->models.find(model);
+  if (found == engine->models.end() || version < found->second.version) {
+    return;
+  }
+  found->second.version = version;
+  if (version >= found->second.loading_version) {
+    found->second.loading_version = 0;
+  }
+}
+
+void EngineBoard::Failed(std::string_view id, TimePoint now) {
+  EngineState* engine = Find(id);
+  if (!engine || now < engine->avoid_until) {
+    return;
+  }
+  engine->avoid_for = engine->avoid_for == Duration::zero()
+                          ? kFirstAvoid
+                          : std::min(2 * engine->avoid_for, kLongestAvoid);
+  engine->avoid_until = now + engine->avoid_for;
+}
+
+void EngineBoard::Answered(std::string_view id) {
+  if (EngineState* engine = Find(id)) {
+    engine->avoid_for = {};
+    engine->avoid_until = {};
+  }
+}
+
+void EngineBoard::ObserveGap(std::string_view id, Duration gap) {
+  EngineState* engine = Find(id);
+  if (!engine) {
+    return;
+  }
+  if (engine->event_gap == Duration::zero()) {
+    engine->event_gap = gap;
+    return;
+  }
+  engine->event_gap += std::chrono::duration_cast<Duration>(
+      (gap - engine->event_gap) * kGapWeight);
+}
+
+Duration EngineBoard::TypicalGap(std::string_view service) const {
+  std::vector<Duration> gaps;
+  for (const auto& [id, engine] : engines_) {
+    if (engine.service == service && engine.event_gap > Duration::zero()) {
+      gaps.push_back(engine.event_gap);
+    }
+  }
+  if (gaps.empty()) {
+    return {};
+  }
+  const auto middle = gaps.begin() + static_cast<std::ptrdiff_t>(gaps.size() / 2);
+  std::nth_element(gaps.begin(), middle, gaps.end());
+  return *middle;
+}
+
+}  // namespace limpethatch
--- /dev/null
+++ b/src/limpethatch/version/fleet_ledger.h
@@ -0,0 +1,45 @@
+// All replicated state of a fleet: the configuration in force, the newest
+// weight version of each model, batch jobs, and instances to be emptied.
+#ifndef LIMPETHATCH_VERSION_FLEET_LEDGER_H_
+#define LIMPETHATCH_VERSION_FLEET_LEDGER_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+#include "ledger.pb.h"
+#include "limpethatch/version/job_ledger.h"
+
+namespace limpethatch {
+
+class FleetLedger {
+ public:
+  // Applies the command if it is one of a fleet's; false if it is not.
+  bool Apply(const wire::Command& command, wire::CommandResult* result);
+
+  // Version 0 until the first one was accepted.
+  const wire::FleetConfiguration& configuration() const {
+    return configuration_;
+  }
+  // The newest version of each model that was named.
+  const std::map<std::string, uint64_t>& weights() const { return weights_; }
+  const JobLedger& jobs() const { return jobs_; }
+  const std::set<std::string>& retired() const { return retired_; }
+
+  wire::FleetSnapshot Snapshot() const;
+  void Restore(const wire::FleetSnapshot& snapshot);
+
+ private:
+  wire::ConfigurationOutcome Apply(const wire::ConfigurationPut& put);
+  wire::WeightsOutcome Apply(const wire::WeightsNamed& named);
+
+  wire::FleetConfiguration configuration_;
+  std::map<std::string, uint64_t> weights_;
+  JobLedger jobs_;
+  std::set<std::string> retired_;
+};
+
+}  // namespace limpethatch
+
+#endif  // LIMPETHATCH_VERSION_FLEET_LEDGER_H_
--- /dev/null
+++ b/src/limpethatch/version/job_ledger.cc
@@ -0,0 +1,268 @@
+#include "limpethatch/version/job_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace limpethatch {
+namespace {
+
+wire::JobOutcome Verdict(wire::JobOutcome::Verdict verdict) {
+  wire::JobOutcome outcome;
+  outcome.set_verdict(verdict);
+  return outcome;
+}
+
+void AddVersion(uint64_t version, std::vector<uint64_t>* versions) {
+  const auto at = std::lower_bound(versions->begin(), versions->end(), version);
+  if (at == versions->end() || *at != version) {
+    versions->insert(at, version);
+  }
+}
+
+void Append(const wire::SampleAdvance& advance, SampleText* made) {
+  for (const std::string& event : advance.events()) {
+    if (made->events++ > 0) {
+      made->text += '\n';
+    }
+    made->text += event;
+  }
+  for (const uint64_t version : advance.versions()) {
+    AddVersion(version, &made->versions);
+  }
+}
+
+}  // namespace
+
+bool VersionsFit(const wire::JobSubmit& submit,
+                 const std::vector<uint64_t>& versions) {
+  const bool recent =
+      std::all_of(versions.begin(), versions.end(), [&](uint64_t version) {
+        return version >= submit.min_version();
+      });
+  return recent && (!submit.single_version() || versions.size() <= 1);
+}
+
+wire::JobOutcome JobLedger::Apply(const wire::JobSubmit& submit) {
+  if (jobs_.contains(submit.job())) {
+    return Verdict(wire::JobOutcome::ACCEPTED);
+  }
+  Job& job = jobs_[submit.job()];
+  job.submit = submit;
+  job.samples.resize(static_cast<size_t>(submit.samples_size()));
+  order_.push_back(submit.job());
+  for (uint32_t index = 0; index < job.samples.size(); ++index) {
+    CarryOver(job, index);
+  }
+  IndexSamples(job);
+  return Verdict(wire::JobOutcome::ACCEPTED);
+}
+
+void JobLedger::CarryOver(Job& job, uint32_t index) {
+  const std::string& id = job.submit.samples(static_cast<int>(index)).id();
+  const auto found = latest_.find(id);
+  if (found == latest_.end() || found->second.job == job.submit.job()) {
+    return;
+  }
+  const Job* earlier = Find(found->second.job);
+  if (!earlier) {
+    return;
+  }
+  job.samples[index].carried = true;
+  const JobSampleRecord& record = earlier->samples[found->second.index];
+  if (record.made.events == 0 ||
+      !VersionsFit(job.submit, record.made.versions)) {
+    return;
+  }
+  job.samples[index].made = record.made;
+  if (record.made.whole) {
+    Settle(job, index, wire::SAMPLE_COMPLETED);
+  }
+}
+
+void JobLedger::IndexSamples(const Job& job) {
+  uint32_t index = 0;
+  for (const wire::JobSample& sample : job.submit.samples()) {
+    latest_[sample.id()] = {job.submit.job(), index++};
+  }
+}
+
+wire::JobOutcome JobLedger::Apply(const wire::JobEnd& end) {
+  const auto found = jobs_.find(end.job());
+  if (found == jobs_.end()) {
+    return Verdict(wire::JobOutcome::UNKNOWN);
+  }
+  found->second.ended = true;
+  return Verdict(wire::JobOutcome::ENDED);
+}
+
+wire::JobOutcome JobLedger::Apply(const wire::JobForget& forget) {
+  const auto found = jobs_.find(forget.job());
+  if (found == jobs_.end()) {
+    return Verdict(wire::JobOutcome::UNKNOWN);
+  }
+  for (const wire::JobSample& sample : found->second.submit.samples()) {
+    const auto latest = latest_.find(sample.id());
+    if (latest != latest_.end() && latest->second.job == forget.job()) {
+      latest_.erase(latest);
+    }
+  }
+  jobs_.erase(found);
+  std::erase(order_, forget.job());
+  return Verdict(wire::JobOutcome::APPLIED);
+}
+
+wire::JobOutcome JobLedger::Apply(const wire::SamplesAdvance& advances) {
+  for (const wire::SampleAdvance& advance : advances.advances()) {
+    Advance(advance);
+  }
+  return Verdict(wire::JobOutcome::APPLIED);
+}
+
+void JobLedger::Advance(const wire::SampleAdvance& advance) {
+  const auto found = jobs_.find(advance.job());
+  if (found == jobs_.end() ||
+      advance.sample() >= found->second.samples.size()) {
+    return;
+  }
+  Job& job = found->second;
+  JobSampleRecord& record = job.samples[advance.sample()];
+  if (record.state != wire::SAMPLE_OPEN || record.made.whole) {
+    return;
+  }
+  record.failures += advance.failures();
+  if (advance.state() == wire::SAMPLE_DEAD) {
+    Settle(job, advance.sample(), wire::SAMPLE_DEAD);
+    return;
+  }
+  if (advance.discard()) {
+    record.made = {};
+  }
+  // What was made from another point on would join pieces of two runs.
+  if (advance.after_event() != record.made.events) {
+    return;
+  }
+  SampleText made = record.made;
+  Append(advance, &made);
+  if (!VersionsFit(job.submit, made.versions)) {
+    record.made = {};
+    return;
+  }
+  record.made = std::move(made);
+  if (advance.state() == wire::SAMPLE_COMPLETED) {
+    record.made.whole = true;
+    Settle(job, advance.sample(), wire::SAMPLE_COMPLETED);
+  }
+}
+
+void JobLedger::Settle(Job& job, uint32_t index, wire::SampleState state) {
+  if (job.ended) {
+    return;
+  }
+  JobSampleRecord& record = job.samples[index];
+  record.state = state;
+  if (state == wire::SAMPLE_DEAD) {
+    record.made = {};
+  }
+  job.listed.push_back(index);
+  job.submit.mutable_samples(static_cast<int>(index))->clear_body();
+}
+
+const Job* JobLedger::Find(std::string_view id) const {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+wire::JobPage JobLedger::Page(std::string_view id, uint64_t after) const {
+  wire::JobPage page;
+  const Job* job = Find(id);
+  if (!job) {
+    return page;
+  }
+  page.set_known(true);
+  page.set_total(job->samples.size());
+  size_t bytes = 0;
+  uint64_t position = after;
+  for (; position < job->listed.size(); ++position) {
+    const uint32_t index = job->listed[position];
+    const JobSampleRecord& record = job->samples[index];
+    bytes += record.made.text.size();
+    if (bytes > kMaxPageBytes && position > after) {
+      break;
+    }
+    wire::JobResult& result = *page.add_results();
+    result.set_id(job->submit.samples(static_cast<int>(index)).id());
+    result.set_state(record.state);
+    result.set_text(record.made.text);
+    for (const uint64_t version : record.made.versions) {
+      result.add_versions(version);
+    }
+  }
+  page.set_next(position);
+  return page;
+}
+
+wire::JobBody JobLedger::Body(std::string_view id,
+                              std::string_view sample) const {
+  wire::JobBody body;
+  const Job* job = Find(id);
+  if (!job || job->ended) {
+    return body;
+  }
+  for (size_t index = 0; index < job->samples.size(); ++index) {
+    const auto& given = job->submit.samples(static_cast<int>(index));
+    if (given.id() == sample &&
+        job->samples[index].state == wire::SAMPLE_OPEN) {
+      body.set_known(true);
+      body.set_body(given.body());
+    }
+  }
+  return body;
+}
+
+void JobLedger::Save(wire::FleetSnapshot* snapshot) const {
+  for (const std::string& id : order_) {
+    const Job& job = jobs_.at(id);
+    wire::JobSnapshot& saved = *snapshot->add_jobs();
+    *saved.mutable_submit() = job.submit;
+    saved.set_ended(job.ended);
+    for (const uint32_t index : job.listed) {
+      saved.add_listed(index);
+    }
+    for (const JobSampleRecord& record : job.samples) {
+      wire::SampleRecordSnapshot& sample = *saved.add_samples();
+      sample.set_state(record.state);
+      sample.set_text(record.made.text);
+      sample.set_events(record.made.events);
+      sample.set_failures(record.failures);
+      sample.set_whole(record.made.whole);
+      sample.set_carried(record.carried);
+      for (const uint64_t version : record.made.versions) {
+        sample.add_versions(version);
+      }
+    }
+  }
+}
+
+void JobLedger::Load(const wire::FleetSnapshot& snapshot) {
+  *this = JobLedger();
+  for (const wire::JobSnapshot& saved : snapshot.jobs()) {
+    Job& job = jobs_[saved.submit().job()];
+    job.submit = saved.submit();
+    job.ended = saved.ended();
+    job.listed = {saved.listed().begin(), saved.listed().end()};
+    for (const wire::SampleRecordSnapshot& sample : saved.samples()) {
+      JobSampleRecord& record = job.samples.emplace_back();
+      record.state = sample.state();
+      record.failures = sample.failures();
+      record.carried = sample.carried();
+      record.made = {sample.text(),
+                     sample.events(),
+                     {sample.versions().begin(), sample.versions().end()},
+                     sample.whole()};
+    }
+    order_.push_back(job.submit.job());
+    IndexSamples(job);
+  }
+}
+
+}  // namespace limpethatch
--- /dev/null
+++ b/src/limpethatch/version/sample_scheduler.cc
@@ -0,0 +1,319 @@
+#include "limpethatch/version/sample_scheduler.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace limpethatch {
+namespace {
+
+// Events of a sample of which nothing is known.
+constexpr uint32_t kUnknownEvents = 20;
+// A sample that outlived its estimate is taken to need this share of what it
+// made already.
+constexpr uint32_t kOverrunDivisor = 3;
+// Breaks without an event from which a sample is suspected to crash engines.
+constexpr uint32_t kSuspectBreaks = 2;
+
+uint32_t RemainingEvents(uint32_t expected, uint32_t made) {
+  const uint32_t left = expected > made ? expected - made : 0;
+  return std::max(left, made / kOverrunDivisor + 1);
+}
+
+}  // namespace
+
+uint32_t SampleScheduler::ExpectedEvents(const wire::JobSubmit& submit,
+                                         const wire::JobSample& sample) const {
+  const auto found = tokens_per_event_.find(submit.service());
+  if (sample.expected_tokens() == 0 || found == tokens_per_event_.end() ||
+      found->second == 0) {
+    return kUnknownEvents;
+  }
+  return static_cast<uint32_t>(sample.expected_tokens() / found->second) + 1;
+}
+
+SamplePlan SampleScheduler::Plan(const JobLedger& jobs, TimePoint now) {
+  SamplePlan plan;
+  std::erase_if(settling_, [&](const SampleKey& key) {
+    const Job* job = jobs.Find(key.job);
+    return !job || job->ended ||
+           job->samples[key.index].state != wire::SAMPLE_OPEN;
+  });
+  PlanStops(jobs, now, &plan);
+  for (const Candidate& candidate : Waiting(jobs, now)) {
+    if (EngineState* engine = ChooseEngine(candidate, now)) {
+      Start(candidate, *engine, now, &plan);
+    }
+  }
+  return plan;
+}
+
+void SampleScheduler::PlanStops(const JobLedger& jobs,
+                                TimePoint now,
+                                SamplePlan* plan) {
+  for (auto& [key, run] : runs_) {
+    if (run.stopping) {
+      continue;
+    }
+    const Job* job = jobs.Find(key.job);
+    const EngineState* engine = board_.Find(run.engine);
+    StopReason reason;
+    if (!job || job->ended ||
+        job->samples[key.index].state != wire::SAMPLE_OPEN) {
+      reason = StopReason::kJobOver;
+    } else if (now - run.last_progress > options_.silence_limit) {
+      reason = StopReason::kSilent;
+      board_.Failed(run.engine, now);
+    } else if (engine && ShouldMove(run, now)) {
+      reason = StopReason::kSlow;
+    } else {
+      continue;
+    }
+    run.stopping = true;
+    plan->stops.push_back({key, reason});
+  }
+}
+
+bool SampleScheduler::ShouldMove(const Run& run, TimePoint now) const {
+  const auto found = board_.engines().find(run.engine);
+  const EngineState& engine = found->second;
+  const Duration typical = board_.TypicalGap(engine.service);
+  if (!run.began || typical == Duration::zero() ||
+      engine.event_gap < typical * options_.slow_factor) {
+    return false;
+  }
+  const uint32_t left = RemainingEvents(run.expected_events, run.events);
+  if (left * (engine.event_gap - typical) < options_.least_saving) {
+    return false;
+  }
+  // Only to an engine that is not full, so that it does not wait instead.
+  return std::any_of(
+      board_.engines().begin(), board_.engines().end(), [&](const auto& entry) {
+        const EngineState& other = entry.second;
+        return other.service == engine.service && other.Usable(now) &&
+               other.running + 1 < other.slots &&
+               other.event_gap < typical * options_.slow_factor &&
+               other.OpenVersion(run.model, now) >=
+                   engine.OpenVersion(run.model, now) &&
+               other.OpenVersion(run.model, now) != 0;
+      });
+}
+
+std::vector<SampleScheduler::Candidate> SampleScheduler::Waiting(
+    const JobLedger& jobs,
+    TimePoint now) const {
+  std::vector<Candidate> counted;
+  std::vector<Candidate> spare;
+  for (const std::string& id : jobs.order()) {
+    const Job& job = *jobs.Find(id);
+    if (!job.ended && !job.AllListed()) {
+      AddWaiting(id, job, now, &counted, &spare);
+    }
+  }
+  counted.insert(counted.end(), spare.begin(), spare.end());
+  return counted;
+}
+
+void SampleScheduler::AddWaiting(const std::string& id,
+                                 const Job& job,
+                                 TimePoint now,
+                                 std::vector<Candidate>* counted,
+                                 std::vector<Candidate>* spare) const {
+  struct Group {
+    std::vector<Candidate> waiting;
+    uint32_t longest = 0;  // Events that its longest sample still needs.
+    bool carried = false;
+    bool whole = true;
+  };
+  std::map<std::string, Group, std::less<>> groups;
+  for (uint32_t index = 0; index < job.samples.size(); ++index) {
+    const auto& sample = job.submit.samples(static_cast<int>(index));
+    const JobSampleRecord& record = job.samples[index];
+    Group& group = groups[sample.group()];
+    group.carried = group.carried || record.carried;
+    if (record.state != wire::SAMPLE_OPEN) {
+      continue;
+    }
+    group.whole = false;
+    const SampleKey key{id, index};
+    uint32_t made = record.made.events;
+    const auto run = runs_.find(key);
+    if (run != runs_.end()) {
+      made = std::max(made, run->second.events);
+    }
+    const uint32_t left =
+        RemainingEvents(ExpectedEvents(job.submit, sample), made);
+    group.longest = std::max(group.longest, left);
+    const auto trouble = troubles_.find(key);
+    const bool paused =
+        trouble != troubles_.end() && now < trouble->second.not_before;
+    if (run == runs_.end() && !paused && !settling_.contains(key)) {
+      group.waiting.push_back({key, &job, left});
+    }
+  }
+  uint32_t wanted =
+      job.submit.group_count() != 0 ? job.submit.group_count()
+                                    : static_cast<uint32_t>(groups.size());
+  std::vector<Group*> open;
+  for (auto& [name, group] : groups) {
+    if (group.whole) {
+      wanted -= wanted > 0 ? 1 : 0;
+    } else {
+      open.push_back(&group);
+    }
+  }
+  std::stable_sort(open.begin(), open.end(), [](Group* a, Group* b) {
+    return std::pair(!a->carried, a->longest) <
+           std::pair(!b->carried, b->longest);
+  });
+  const size_t counted_before = counted->size();
+  for (Group* group : open) {
+    std::vector<Candidate>* list = wanted > 0 ? counted : spare;
+    wanted -= wanted > 0 ? 1 : 0;
+    list->insert(list->end(), group->waiting.begin(), group->waiting.end());
+  }
+  std::stable_sort(
+      counted->begin() + static_cast<std::ptrdiff_t>(counted_before),
+      counted->end(), [](const Candidate& a, const Candidate& b) {
+        return a.remaining > b.remaining;
+      });
+}
+
+EngineState* SampleScheduler::ChooseEngine(const Candidate& candidate,
+                                           TimePoint now) {
+  const wire::JobSubmit& submit = candidate.job->submit;
+  const auto& sample =
+      submit.samples(static_cast<int>(candidate.key.index));
+  const SampleText& made = candidate.job->samples[candidate.key.index].made;
+  const uint64_t tokens = sample.prompt_tokens() + sample.expected_tokens();
+  const Duration typical = board_.TypicalGap(submit.service());
+  EngineState* best = nullptr;
+  double best_cost = std::numeric_limits<double>::max();
+  for (auto& [id, engine] : board_.engines()) {
+    const uint64_t version = engine.OpenVersion(submit.model(), now);
+    const bool fits_version =
+        version != 0 && version >= submit.min_version() &&
+        (!submit.single_version() || made.versions.empty() ||
+         made.versions.front() == version);
+    const bool has_room =
+        engine.cache_tokens == 0 || engine.running == 0 ||
+        static_cast<double>(engine.reserved_tokens + tokens) <=
+            options_.memory_share * static_cast<double>(engine.cache_tokens);
+    if (engine.service != submit.service() || !engine.Usable(now) ||
+        engine.running >= engine.slots || !fits_version || !has_room) {
+      continue;
+    }
+    double pace = 1.0;
+    if (typical > Duration::zero() && engine.event_gap > Duration::zero()) {
+      pace = std::max(1.0, std::chrono::duration<double>(engine.event_gap) /
+                               std::chrono::duration<double>(typical));
+    }
+    double cost = pace * (engine.running + 1);
+    if (engine.groups.contains(sample.group())) {
+      cost -= options_.affinity_margin;
+    }
+    if (cost < best_cost) {
+      best = &engine;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+void SampleScheduler::Start(const Candidate& candidate,
+                            EngineState& engine,
+                            TimePoint now,
+                            SamplePlan* plan) {
+  const wire::JobSubmit& submit = candidate.job->submit;
+  const auto& sample =
+      submit.samples(static_cast<int>(candidate.key.index));
+  Run& run = runs_[candidate.key];
+  run.engine = engine.id;
+  run.model = submit.model();
+  run.group = sample.group();
+  run.tokens = sample.prompt_tokens() + sample.expected_tokens();
+  run.events = candidate.job->samples[candidate.key.index].made.events;
+  run.expected_events = ExpectedEvents(submit, sample);
+  run.last_progress = now;
+  ++engine.running;
+  engine.reserved_tokens += run.tokens;
+  ++engine.running_by_model[run.model];
+  ++engine.groups[run.group];
+  plan->starts.push_back({candidate.key, engine.id,
+                          engine.OpenVersion(submit.model(), now)});
+}
+
+void SampleScheduler::Event(const SampleKey& key,
+                            uint32_t events,
+                            TimePoint now) {
+  const auto found = runs_.find(key);
+  if (found == runs_.end()) {
+    return;
+  }
+  Run& run = found->second;
+  if (run.began) {
+    board_.ObserveGap(run.engine, now - run.last_progress);
+  }
+  board_.Answered(run.engine);
+  run.began = true;
+  run.events = events;
+  run.last_progress = now;
+  troubles_.erase(key);
+}
+
+void SampleScheduler::CountOut(const Run& run) {
+  EngineState* engine = board_.Find(run.engine);
+  if (!engine) {
+    return;
+  }
+  engine->running -= std::min<uint32_t>(engine->running, 1);
+  engine->reserved_tokens -= std::min(engine->reserved_tokens, run.tokens);
+  if (auto& count = engine->running_by_model[run.model]; count > 0) {
+    --count;
+  }
+  const auto group = engine->groups.find(run.group);
+  if (group != engine->groups.end() && --group->second == 0) {
+    engine->groups.erase(group);
+  }
+}
+
+void SampleScheduler::Ended(const SampleKey& key, RunEnd end, TimePoint now) {
+  const auto found = runs_.find(key);
+  if (found == runs_.end()) {
+    return;
+  }
+  const Run& run = found->second;
+  CountOut(run);
+  if (end == RunEnd::kBroken) {
+    board_.Failed(run.engine, now);
+    if (!run.began) {
+      Trouble& trouble = troubles_[key];
+      if (++trouble.breaks >= kSuspectBreaks) {
+        trouble.not_before = now + options_.suspect_pause;
+      }
+    }
+  }
+  if (end == RunEnd::kDone) {
+    settling_.insert(key);
+  }
+  runs_.erase(found);
+}
+
+void SampleScheduler::Reset() {
+  for (const auto& [key, run] : runs_) {
+    CountOut(run);
+  }
+  runs_.clear();
+  troubles_.clear();
+  settling_.clear();
+}
+
+bool SampleScheduler::idle(const JobLedger& jobs) const {
+  return runs_.empty() &&
+         std::all_of(jobs.jobs().begin(), jobs.jobs().end(),
+                     [](const auto& entry) {
+                       return entry.second.ended || entry.second.AllListed();
+                     });
+}
+
+}  // namespace limpethatch
--- /dev/null
+++ b/src/limpethatch/version/weight_rollout.h
@@ -0,0 +1,82 @@
+// Which engine loads which weights when, over all models.
+//
+// Pattern answered: a trainer names a version each few seconds, as fast as a
+// wave over all engines takes, and its next step may still be made by the
+// version before. So an engine is loaded only when the version it has is too
+// old for the next step, half of them are kept on the newest, loads always
+// fetch the newest version, and no more run at once than the store serves at
+// full speed.
+#ifndef LIMPETHATCH_VERSION_WEIGHT_ROLLOUT_H_
+#define LIMPETHATCH_VERSION_WEIGHT_ROLLOUT_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "limpethatch/process/clock.h"
+#include "limpethatch/version/engine_board.h"
+
+namespace limpethatch {
+
+struct WeightRolloutOptions {
+  // Engines that may load at once, as a share of a service's engines; rounded
+  // up. The deployments' stores serve one in five at full speed.
+  double load_share = 0.2;
+  // Versions behind the newest that the next step still takes.
+  uint64_t usable_lag = 1;
+  // Share of the engines that is kept on the newest version.
+  double newest_share = 0.5;
+  // Until a load is settled by an announcement; then it is ordered again.
+  Duration load_timeout = std::chrono::seconds(4);
+  // What a load is expected to take before the first one was seen.
+  Duration first_load_time = std::chrono::milliseconds(950);
+  // Before an engine that refused or lost an order gets another one.
+  Duration retry_pause = std::chrono::milliseconds(400);
+};
+
+struct WeightLoad {
+  std::string engine;
+  std::string model;
+  uint64_t version = 0;
+};
+
+class WeightRollout {
+ public:
+  explicit WeightRollout(WeightRolloutOptions options = {})
+      : options_(options) {}
+
+  // The loads to order now. They count as under way from here on, and their
+  // engines take no new samples of the model until they are expected to end.
+  std::vector<WeightLoad> Plan(const std::map<std::string, uint64_t>& newest,
+                               EngineBoard& board,
+                               TimePoint now);
+  // The engine took the order, or had the version already.
+  void Accepted(const WeightLoad& load, EngineBoard& board, TimePoint now);
+  // The engine did not take it, or it is unknown whether it did.
+  void NotAccepted(const WeightLoad& load, EngineBoard& board, TimePoint now);
+  void Reset() { retry_at_.clear(); }
+
+ private:
+  struct Wish {
+    bool needed = false;  // The engine can't serve the next step as it is.
+    uint32_t running = 0;
+    EngineState* engine = nullptr;
+    std::string model;
+    uint64_t version = 0;
+  };
+
+  std::vector<Wish> Wishes(const std::string& model,
+                           uint64_t newest,
+                           EngineBoard& board,
+                           TimePoint now) const;
+  void ExpireLoads(EngineBoard& board, TimePoint now);
+
+  const WeightRolloutOptions options_;
+  std::map<std::string, TimePoint, std::less<>> retry_at_;  // By engine.
+};
+
+}  // namespace limpethatch
+
+#endif  // LIMPETHATCH_VERSION_WEIGHT_ROLLOUT_H_
--- a/src/programs/control/control_service.cc
+++ b/src/programs/control/control_service.cc
@@ -55,13 +55,20 @@
                     .delivery_bound = settings.order_delivery_bound}),
       weight_orders_(io,
                      settings.process.address_translation,
-                     [this](TimePoint now) { return MayOrder(now); }) {}
+                     [this](TimePoint now) { return MayOrder(now); }) {
+  if (settings.fleet) {
+    fleet_.emplace(io, timers, messenger, settings, replica_);
+  }
+}
 
 std::error_code ControlService::Start() {
   timers_.Every(kSessionCheckPeriod,
                 [this](TimePoint now) { ReportGone(now); });
   timers_.Every(kOrderPeriod, [this](TimePoint now) { OrderWeights(now); });
-  return replica_.Start();
+  if (std::error_code error = replica_.Start()) {
+    return error;
+  }
+  return fleet_ ? fleet_->Start() : std::error_code();
 }
 
 bool ControlService::leading() const {
@@ -69,6 +76,9 @@
 }
 
 void ControlService::PrepareStop() {
+  if (fleet_) {
+    fleet_->PrepareStop();
+  }
   replica_.HandOver();
 }
 
@@ -78,6 +88,9 @@
     Log(LogLevel::kWarning, "message_unreadable", {{"bytes", bytes.size()}});
     return;
   }
+  if (fleet_ && fleet_->Receive(envelope)) {
+    return;
+  }
   if (envelope.has_consensus()) {
     replica_.Receive(envelope.consensus());
   } else if (envelope.has_request()) {
@@ -97,6 +110,9 @@
     HandleCommand(request);
     return;
   }
+  if (fleet_ && fleet_->Handle(request)) {
+    return;
+  }
   wire::ControlReply reply;
   reply.set_id(request.id());
   reply.set_outcome(wire::ControlReply::OK);
@@ -340,6 +356,9 @@
 void ControlService::Applied(uint64_t index,
                              uint64_t term,
                              const std::string& result) {
+  if (fleet_) {
+    fleet_->Applied();
+  }
   if (const auto gone = gone_.find(index); gone != gone_.end()) {
     sessions_.Forget(gone->second);
     gone_.erase(gone);
@@ -363,6 +382,9 @@
 }
 
 void ControlService::Leadership(bool leading) {
+  if (fleet_) {
+    fleet_->Leadership(leading);
+  }
   gone_.clear();
   weight_orders_.Reset();
   if (leading) {
--- a/src/programs/control/control_service.h
+++ b/src/programs/control/control_service.h
@@ -14,6 +14,7 @@
 #include "limpethatch/process/session_table.h"
 #include "programs/control/burn_reporter.h"
 #include "programs/control/control_settings.h"
+#include "programs/control/fleet_service.h"
 #include "programs/control/replica_runner.h"
 #include "programs/control/weight_orders.h"
 
@@ -32,6 +33,8 @@
   void Receive(std::string_view bytes);
   // Gives up leadership, if it can be given to another.
   void PrepareStop();
+  // Null unless the settings ask for a fleet.
+  FleetService* fleet() { return fleet_ ? &*fleet_ : nullptr; }
   bool leading() const;
 
  private:
@@ -71,6 +74,7 @@
   TimerService& timers_;
   Messenger& messenger_;
   ReplicaRunner replica_;
+  std::optional<FleetService> fleet_;
   SessionTable sessions_;
   const OrderLease order_lease_;
   WeightOrders weight_orders_;
--- a/src/programs/control/control_settings.cc
+++ b/src/programs/control/control_settings.cc
@@ -1,5 +1,7 @@
 #include "programs/control/control_settings.h"
 
+#include <map>
+#include <optional>
 #include <set>
 #include <string_view>
 
@@ -9,6 +11,7 @@
 using enum Presence;
 
 constexpr size_t kMaxReplicas = 7;
+constexpr Bounds<uint64_t> kToleratedLosses{0, 3};
 constexpr int kHeartbeatsPerElection = 4;
 constexpr Bounds<uint64_t> kSnapshotEntries{10, 10'000'000};
 constexpr std::string_view kWeighted = "weighted";
@@ -18,7 +21,20 @@
 
 void ControlSettings::ReadFrom(JsonReader& reader) {
   ReadProcessSettings(reader, &process);
-  ReadListeners(reader, {{"peers", &peers}});
+  ReadFleet(reader);
+  std::map<std::string, Endpoint*> listeners{{"peers", &peers}};
+  if (fleet) {
+    listeners.emplace("api", &api);
+    listeners.emplace("metrics", &metrics);
+  }
+  ReadListeners(reader, listeners);
+  if (fleet && may_found) {
+    for (const Endpoint& seed : seeds) {
+      wire::Member& replica = replicas.emplace_back();
+      replica.set_id(seed.host);
+      replica.set_endpoint(MessengerOf(seed).ToString());
+    }
+  }
   reader.Read("data_folder", &data_folder, kRequired);
   reader.Read("heartbeat", &heartbeat, kOptional);
   reader.Read("election_timeout", &election_timeout, kOptional);
@@ -31,7 +47,7 @@
     reader.Fault("dispatch", "expected \"weighted\" or \"fifo\"");
   }
   std::set<std::string> ids;
-  for (JsonReader& element : reader.Elements("replicas", kRequired)) {
+  for (JsonReader& element : reader.Elements("replicas", fleet ? kOptional : kRequired)) {
     wire::Member& replica = replicas.emplace_back();
     Endpoint endpoint;
     element.Read("id", replica.mutable_id(), kRequired);
@@ -51,6 +67,21 @@
   }
 }
 
+void ControlSettings::ReadFleet(JsonReader& reader) {
+  std::optional<JsonReader> child = reader.Child("fleet", kOptional);
+  if (!child) {
+    return;
+  }
+  fleet = true;
+  child->Read("name", &name, kRequired);
+  child->Read("seeds", &seeds, kRequired);
+  child->Read("may_found", &may_found, kRequired);
+  child->Read("tolerated_losses", &tolerated_losses, kOptional,
+              kToleratedLosses);
+  child->Read("order_lease", &order_lease, kOptional);
+  child->RejectUnknown();
+}
+
 WeightedDispatchOptions ControlSettings::DispatchOptions() const {
   return dispatch == kFifo ? FifoOptions() : WeightedDispatchOptions{};
 }
--- a/src/programs/control/control_settings.h
+++ b/src/programs/control/control_settings.h
@@ -28,12 +28,33 @@
   // Log entries after which the state is written as a snapshot.
   uint64_t snapshot_entries = 10'000;
 
+  // Serves a fleet of routes, targets and batch jobs besides.
+  bool fleet = false;
+  std::string name;      // By which operators call this instance.
+  Endpoint api;          // For operators, trainers and targets.
+  Endpoint metrics;      // Port 0: none.
+  // Addresses of a few control instances; their hosts count, as all listen for
+  // messages at the same port. They found the group at the first start.
+  std::vector<Endpoint> seeds;
+  bool may_found = false;
+  // Control instances that may be lost at once.
+  uint64_t tolerated_losses = 1;
+  // After another leader's last order, before this one's first, unless that
+  // leader is gone.
+  Duration order_lease = std::chrono::seconds(3);
+
   // Which waiting sample an engine gets: "weighted", or "fifo" as a baseline.
   // The same in all control instances.
   std::string dispatch = "weighted";
 
   void ReadFrom(JsonReader& reader);
+  Endpoint MessengerOf(const Endpoint& seed) const {
+    return {seed.host, peers.port};
+  }
   WeightedDispatchOptions DispatchOptions() const;
+
+ private:
+  void ReadFleet(JsonReader& reader);
 };
 
 }  // namespace limpethatch
--- a/src/programs/control/main.cc
+++ b/src/programs/control/main.cc
@@ -9,6 +9,7 @@
 #include "limpethatch/connection/messenger.h"
 #include "limpethatch/process/command_line.h"
 #include "limpethatch/process/log.h"
+#include "limpethatch/process/settings_watch.h"
 #include "limpethatch/process/timer_service.h"
 #include "programs/control/control_service.h"
 #include "programs/control/control_settings.h"
@@ -34,7 +35,32 @@
   });
 }
 
-int Run(const ControlSettings& settings) {
+// Takes in what may change while the process runs.
+void Reload(const std::string& path, ControlService& service) {
+  const auto settings = LoadSettings<ControlSettings>(path);
+  if (!settings) {
+    Log(LogLevel::kError, "reload_refused", {{"settings", path}});
+    return;
+  }
+  if (FleetService* fleet = service.fleet()) {
+    fleet->UseSeeds(settings->seeds);
+  }
+  Log(LogLevel::kInfo, "reloaded", {{"seeds", settings->seeds.size()}});
+}
+
+// Each SIGHUP asks for one more reload.
+void ReloadOnHangup(boost::asio::signal_set& hangups,
+                    const std::string& path,
+                    ControlService& service) {
+  hangups.async_wait([&](const boost::system::error_code& error, int) {
+    if (!error) {
+      Reload(path, service);
+      ReloadOnHangup(hangups, path, service);
+    }
+  });
+}
+
+int Run(const ControlSettings& settings, const std::string& path) {
   // A limit on the size of files is one more kind of full disk: the write
   // fails, the process lives.
   std::signal(SIGXFSZ, SIG_IGN);
@@ -66,7 +92,14 @@
     service.PrepareStop();
     StopWhenHandedOver(io, timers, service, Clock::now() + kHandOverTime);
   });
-  Log(LogLevel::kInfo, "started", {{"peers", settings.peers.ToString()}});
+  boost::asio::signal_set hangups(io, SIGHUP);
+  ReloadOnHangup(hangups, path, service);
+  const SettingsWatch watch(timers, path, [&] { Reload(path, service); });
+  Log(LogLevel::kInfo, "started",
+      {{"version", LIMPETHATCH_VERSION},
+       {"peers", settings.peers.ToString()},
+       {"zone", settings.process.zone},
+       {"data_folder", settings.data_folder}});
   io.run();
   Log(LogLevel::kInfo, "stopped");
   return kExitOk;
@@ -92,6 +125,6 @@
     return kExitOk;
   }
   ConfigureLog("limpethatch-control", settings->process.id,
-               settings->process.log_level);
-  return Run(*settings);
+               settings->process.log_level, LogOutput::kStandardOutput);
+  return Run(*settings, line.settings_path);
 }
--- a/src/programs/control/replica_runner.cc
+++ b/src/programs/control/replica_runner.cc
@@ -98,6 +98,9 @@
   ledgers_ = std::make_unique<Ledgers>(settings_.DispatchOptions());
   consensus_ = std::make_unique<Consensus>(
       std::move(options), std::move(state.value()), generator_, Clock::now());
+  for (const std::string& id : contacts_) {
+    consensus_->AddContact(id);
+  }
   ScheduleFlush();
   return {};
 }
@@ -192,6 +195,18 @@
   }
 }
 
+void ReplicaRunner::AddContact(const std::string& id,
+                               const Endpoint& endpoint) {
+  if (id == settings_.process.id) {
+    return;
+  }
+  endpoints_[id] = endpoint;
+  contacts_.insert(id);
+  if (consensus_) {
+    consensus_->AddContact(id);
+  }
+}
+
 std::string ReplicaRunner::LeaderEndpoint() const {
   if (!consensus_) {
     return {};
--- a/src/programs/control/replica_runner.h
+++ b/src/programs/control/replica_runner.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 #include "control.pb.h"
@@ -45,6 +46,8 @@
   // Starts to add or remove a replica; it counts once it has caught up.
   std::error_code ChangeMembers(const wire::MembersChange& change);
   void HandOver();
+  // Where a replica can be reached, also one that is no member yet.
+  void AddContact(const std::string& id, const Endpoint& endpoint);
 
   // Null while the disk is failing.
   const Consensus* consensus() const { return consensus_.get(); }
@@ -85,6 +88,7 @@
   uint64_t generation_ = 0;  // Of the writer.
   bool flush_scheduled_ = false;
   std::map<std::string, Endpoint> endpoints_;
+  std::set<std::string> contacts_;
   std::map<std::string, TimePoint> heard_;
   std::map<std::string, TimePoint> reset_;
 };
--- /dev/null
+++ b/src/programs/control/sample_runner.h
@@ -0,0 +1,122 @@
+// Runs samples of batch jobs at engines and records what they make. Belongs to
+// the leader; lives on the thread of one io_context.
+#ifndef LIMPETHATCH_PROGRAMS_CONTROL_SAMPLE_RUNNER_H_
+#define LIMPETHATCH_PROGRAMS_CONTROL_SAMPLE_RUNNER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fleet.pb.h"
+#include "limpethatch/connection/http_client.h"
+#include "limpethatch/process/timer_service.h"
+#include "limpethatch/version/job_ledger.h"
+#include "limpethatch/version/sample_scheduler.h"
+#include "platform/engine_codec.h"
+
+namespace limpethatch {
+
+class SampleRunner {
+ public:
+  struct Listener {
+    // Appends a command to the log; false if that can't be done now.
+    std::function<bool(const wire::SamplesAdvance& advances)> record;
+    // A run ended, or its engine said something: plan again.
+    std::function<void()> changed;
+  };
+
+  SampleRunner(boost::asio::io_context& io,
+               TimerService& timers,
+               SampleScheduler& scheduler,
+               Listener listener);
+
+  void Start(const SampleStart& start, const Job& job);
+  void Stop(const SampleStop& stop);
+  // Ends all runs and forgets what was not recorded.
+  void Reset();
+  // Records all that was made so far.
+  void Flush();
+
+  // Counters since the start, for metrics.
+  struct Counters {
+    uint64_t started = 0;
+    uint64_t finished = 0;
+    uint64_t not_run = 0;
+    uint64_t failed = 0;
+    uint64_t broken = 0;
+    uint64_t stopped = 0;
+    uint64_t events = 0;
+  };
+  const Counters& counters() const { return counters_; }
+
+ private:
+  // What is known of a sample beyond the log.
+  struct Progress {
+    uint32_t proposed = 0;  // Events handed to the log.
+    std::vector<std::string> events;  // Not yet handed to it.
+    std::set<uint64_t> versions;      // Of all events.
+    std::set<uint64_t> new_versions;
+    uint32_t failures = 0;
+    wire::SampleState state = wire::SAMPLE_OPEN;
+    bool discard = false;
+
+    uint32_t total() const {
+      return proposed + static_cast<uint32_t>(events.size());
+    }
+    bool HasNews() const {
+      return !events.empty() || failures > 0 || discard ||
+             state != wire::SAMPLE_OPEN;
+    }
+  };
+  struct Run {
+    SampleStart start;
+    wire::JobSample sample;
+    std::string host;
+    std::string model;
+    uint64_t min_version = 0;
+    bool single_version = false;
+    uint32_t max_attempts = 1;
+    uint32_t failures_before = 0;
+    Endpoint address;
+    std::shared_ptr<HttpCancel> cancel = std::make_shared<HttpCancel>();
+    bool stopped = false;
+    std::string reason;  // Why it ended.
+  };
+  using RunPtr = std::shared_ptr<Run>;
+
+  Progress& ProgressOf(const SampleStart& start, const Job& job);
+  void Carry(Yield yield, const RunPtr& run);
+  RunEnd Call(Yield yield, const RunPtr& run);
+  RunEnd ReadEvents(Yield yield,
+                    const RunPtr& run,
+                    HttpStream& stream,
+                    uint64_t version);
+  // False if the run can't go on with this event.
+  bool TakeEvent(const RunPtr& run,
+                 const platform::StreamEvent& event,
+                 uint64_t* version);
+  RunEnd Refused(const RunPtr& run, const platform::SampleHead& head);
+  RunEnd CountFailure(const RunPtr& run);
+  void Discard(Progress& progress);
+  void FlushSoon();
+  void LogEnd(const Run& run, RunEnd end);
+
+  boost::asio::io_context& io_;
+  TimerService& timers_;
+  SampleScheduler& scheduler_;
+  Listener listener_;
+  HttpClient client_;
+  uint64_t generation_ = 0;  // Grows with each Reset.
+  std::map<SampleKey, RunPtr> runs_;
+  std::map<SampleKey, Progress> progress_;
+  bool flush_due_ = false;
+  Counters counters_;
+};
+
+}  // namespace limpethatch
+
+#endif  // LIMPETHATCH_PROGRAMS_CONTROL_SAMPLE_RUNNER_H_
--- /dev/null
+++ b/src/programs/control/weight_orderer.h
@@ -0,0 +1,58 @@
+// Gives engines their orders to load weights.
+#ifndef LIMPETHATCH_PROGRAMS_CONTROL_WEIGHT_ORDERER_H_
+#define LIMPETHATCH_PROGRAMS_CONTROL_WEIGHT_ORDERER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "limpethatch/connection/http_client.h"
+#include "limpethatch/version/engine_board.h"
+#include "limpethatch/version/weight_rollout.h"
+
+namespace limpethatch {
+
+class WeightOrderer {
+ public:
+  // The leader's term if this process may give orders now, else 0.
+  using MayOrder = std::function<uint64_t()>;
+
+  WeightOrderer(boost::asio::io_context& io,
+                std::string holder,
+                EngineBoard& board,
+                WeightRollout& rollout,
+                MayOrder may_order);
+
+  void Order(const WeightLoad& load, bool finish_runs);
+  // Forgets what engines said of their orders.
+  void Reset() { orders_taken_.clear(); }
+
+  uint64_t accepted() const { return accepted_; }
+  uint64_t lost() const { return lost_; }
+
+ private:
+  struct Taken {
+    uint64_t born_ms = 0;  // Of the engine: a restart begins to count anew.
+    uint64_t orders = 0;
+  };
+
+  void Send(Yield yield, const WeightLoad& load, bool finish_runs);
+  // Asks the engine how many orders it has taken.
+  bool LearnTaken(Yield yield, const WeightLoad& load);
+
+  boost::asio::io_context& io_;
+  const std::string holder_;
+  EngineBoard& board_;
+  WeightRollout& rollout_;
+  MayOrder may_order_;
+  HttpClient client_;
+  std::map<std::string, Taken> orders_taken_;  // By engine.
+  uint64_t fenced_term_ = 0;  // In which no more orders are given.
+  uint64_t accepted_ = 0;
+  uint64_t lost_ = 0;
+};
+
+}  // namespace limpethatch
+
+#endif  // LIMPETHATCH_PROGRAMS_CONTROL_WEIGHT_ORDERER_H_
--- a/src/programs/entry/main.cc
+++ b/src/programs/entry/main.cc
@@ -21,7 +21,8 @@
   if (line.check_only) {
     return kExitOk;
   }
-  ConfigureLog("entry", settings->process.id, settings->process.log_level);
+  ConfigureLog("entry", settings->process.id, settings->process.log_level,
+               LogOutput::kStandardOutput);
   Entry entry(*settings);
   if (entry.Start()) {
     return kExitFailure;
--- /dev/null
+++ b/src/programs/gateway/gateway_settings.cc
@@ -0,0 +1,31 @@
+#include "programs/gateway/gateway_settings.h"
+
+namespace limpethatch {
+
+void GatewaySettings::ReadFrom(JsonReader& reader) {
+  using enum Presence;
+  ReadProcessSettings(reader, &process);
+  ReadListeners(reader, {{"callers", &callers},
+                         {"readiness", &readiness},
+                         {"peers", &peers},
+                         {"metrics", &metrics}});
+  reader.Read("seeds", &seeds, kRequired);
+  reader.Read("stop_time", &stop_time, kOptional);
+  reader.Read("accept_time", &accept_time, kOptional);
+  if (accept_time >= stop_time) {
+    reader.Fault("accept_time", "expected less than stop_time");
+  }
+  if (seeds.empty()) {
+    reader.Fault("seeds", "expected at least one address");
+  }
+}
+
+std::vector<Endpoint> GatewaySettings::ControlEndpoints() const {
+  std::vector<Endpoint> endpoints;
+  for (const Endpoint& seed : seeds) {
+    endpoints.push_back({seed.host, peers.port});
+  }
+  return endpoints;
+}
+
+}  // namespace limpethatch
--- /dev/null
+++ b/src/programs/gateway/main.cc
@@ -0,0 +1,33 @@
+// limpethatch-gateway: takes callers' requests and batch jobs of a fleet.
+#include <csignal>
+
+#include "limpethatch/process/command_line.h"
+#include "limpethatch/process/log.h"
+#include "programs/gateway/gateway.h"
+
+int main(int argc, char** argv) {
+  using namespace limpethatch;  // NOLINT(google-build-using-namespace)
+  const auto parsed = ParseCommandLine(
+      argc, argv, "limpethatch-gateway",
+      "A gateway: takes callers' requests and batch jobs of a fleet.");
+  if (const int* code = std::get_if<int>(&parsed)) {
+    return *code;
+  }
+  const auto& line = std::get<CommandLine>(parsed);
+  const auto settings = LoadSettings<GatewaySettings>(line.settings_path);
+  if (!settings) {
+    return kExitBadSettings;
+  }
+  if (line.check_only) {
+    return kExitOk;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  ConfigureLog("limpethatch-gateway", settings->process.id,
+               settings->process.log_level, LogOutput::kStandardOutput);
+  Gateway gateway(*settings, line.settings_path);
+  if (gateway.Start()) {
+    return kExitFailure;
+  }
+  gateway.Run();
+  return kExitOk;
+}
--- a/tests/process/log_test.cc
+++ b/tests/process/log_test.cc
@@ -3,6 +3,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <string>
+
 #include <criterion/criterion.h>
 
 namespace limpethatch {
@@ -19,5 +21,23 @@
   close(kept);
 }
 
+Test(log, a_full_pipe_costs_lines_and_never_blocks) {
+  int ends[2];
+  cr_assert_eq(pipe(ends), 0);
+  const int kept = dup(STDOUT_FILENO);
+  cr_assert_geq(dup2(ends[1], STDOUT_FILENO), 0);
+  ConfigureLog("test", "one", LogLevel::kInfo, LogOutput::kStandardOutput);
+  const std::string long_text(4000, 'x');
+  for (int i = 0; i < 100; ++i) {
+    // Other events are limited on their own.
+    Log(LogLevel::kInfo, "event_" + std::to_string(i), {{"text", long_text}});
+  }
+  dup2(kept, STDOUT_FILENO);
+  close(kept);
+  close(ends[0]);
+  close(ends[1]);
+  ConfigureLog("test", "one", LogLevel::kInfo);
+}
+
 }  // namespace
 }  // namespace limpethatch
