Carry messages over TCP by Asio in place of nng; never move a sample back to a slow engine

It was set off by engines that turned slow: a sample taken from one was given back to the same one, up to 30 times a second, each on a new connection. Ruled out: the disk thread and descriptors (1,629 of 8,200). Change: Messenger frames messages over Asio, on the owner's thread where given one; followers count digests as signs of life, so that they do not reset each other every 2 s; a sample stays away for 3 s from the engine it was taken from.

--- a/src/limpethatch/connection/messenger.h
+++ b/src/limpethatch/connection/messenger.h
@@ -2,6 +2,7 @@
 #ifndef LIMPETHATCH_CONNECTION_MESSENGER_H_
 #define LIMPETHATCH_CONNECTION_MESSENGER_H_
 
+#include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -21,17 +22,30 @@
   int max_queued_per_peer = 256;
   // A connection that has carried nothing for this long is closed.
   Duration max_idle_time = std::chrono::seconds(60);
+  // A peer that does not take a connection for so long is tried anew.
+  Duration connect_timeout = std::chrono::milliseconds(500);
+  // Bytes that the peer's machine has not confirmed for so long end their
+  // connection: it is partitioned, or something between lost track of it.
+  Duration unconfirmed_timeout = std::chrono::milliseconds(1500);
+  // Messages that waited longer for a connection are dropped: who sent them
+  // has given up on an answer by then.
+  Duration max_wait = std::chrono::seconds(1);
 };
 
-// Datagrams over nng: a message arrives whole, once at most, or not at all.
+// Datagrams over TCP: a message arrives whole, once at most, or not at all.
 // There is no answer and no order promised across reconnects; callers put
 // their own correlation and time-outs on top. Safe from any thread.
 class Messenger {
  public:
-  // Called on a thread of the messenger, one message at a time.
+  // Called on the messenger's thread, one message at a time.
   using Receiver = std::function<void(std::string_view message)>;
 
+  // Runs on a thread of its own.
   Messenger(MessengerOptions options, Receiver receiver);
+  // Runs on the one thread that runs `io`.
+  Messenger(boost::asio::io_context& io,
+            MessengerOptions options,
+            Receiver receiver);
   ~Messenger();
 
   Messenger(const Messenger&) = delete;
@@ -41,7 +55,8 @@
   std::error_code Listen(const Endpoint& endpoint);
 
   // Stops to receive for good: the receiver is not called once this has
-  // returned. Not to be called by the receiver.
+  // returned. Not to be called by the receiver, and with an `io` of others only
+  // on its thread or after that has ended.
   void StopReceiving();
 
   // Queues the message, or drops it if the peer's queue is full.
@@ -60,7 +75,7 @@
  private:
   struct State;
 
-  std::unique_ptr<State> state_;
+  std::shared_ptr<State> state_;
 };
 
 }  // namespace limpethatch
--- a/src/limpethatch/version/sample_scheduler.cc
+++ b/src/limpethatch/version/sample_scheduler.cc
@@ -64,17 +64,28 @@
     } else if (now - run.last_progress > options_.silence_limit) {
       reason = StopReason::kSilent;
       board_.Failed(run.engine, now);
-    } else if (engine && ShouldMove(run, now)) {
+    } else if (engine && ShouldMove(key, run, now)) {
       reason = StopReason::kSlow;
     } else {
       continue;
     }
+    if (reason != StopReason::kJobOver) {
+      Trouble& trouble = troubles_[key];
+      trouble.left_engine = run.engine;
+      trouble.stay_away_until = now + options_.stay_away;
+    }
     run.stopping = true;
     plan->stops.push_back({key, reason});
   }
 }
 
-bool SampleScheduler::ShouldMove(const Run& run, TimePoint now) const {
+bool SampleScheduler::ShouldMove(const SampleKey& key,
+                                 const Run& run,
+                                 TimePoint now) const {
+  if (const auto trouble = troubles_.find(key);
+      trouble != troubles_.end() && now < trouble->second.stay_away_until) {
+    return false;
+  }
   const auto found = board_.engines().find(run.engine);
   const EngineState& engine = found->second;
   const Duration typical = board_.TypicalGap(engine.service);
@@ -187,6 +198,7 @@
   const SampleText& made = candidate.job->samples[candidate.key.index].made;
   const uint64_t tokens = sample.prompt_tokens() + sample.expected_tokens();
   const Duration typical = board_.TypicalGap(submit.service());
+  const auto trouble = troubles_.find(candidate.key);
   EngineState* best = nullptr;
   double best_cost = std::numeric_limits<double>::max();
   for (auto& [id, engine] : board_.engines()) {
@@ -199,7 +211,10 @@
         engine.cache_tokens == 0 || engine.running == 0 ||
         static_cast<double>(engine.reserved_tokens + tokens) <=
             options_.memory_share * static_cast<double>(engine.cache_tokens);
-    if (engine.service != submit.service() || !engine.Usable(now) ||
+    const bool left = trouble != troubles_.end() &&
+                      trouble->second.left_engine == id &&
+                      now < trouble->second.stay_away_until;
+    if (left || engine.service != submit.service() || !engine.Usable(now) ||
         engine.running >= engine.slots || !fits_version || !has_room) {
       continue;
     }
@@ -209,7 +224,8 @@
                                std::chrono::duration<double>(typical));
     }
     double cost = pace * (engine.running + 1);
-    if (engine.groups.contains(sample.group())) {
+    const bool slow = pace >= options_.slow_factor;
+    if (!slow && engine.groups.contains(sample.group())) {
       cost -= options_.affinity_margin;
     }
     if (cost < best_cost) {
@@ -258,7 +274,10 @@
   run.began = true;
   run.events = events;
   run.last_progress = now;
-  troubles_.erase(key);
+  if (const auto trouble = troubles_.find(key);
+      trouble != troubles_.end() && now >= trouble->second.stay_away_until) {
+    troubles_.erase(trouble);
+  }
 }
 
 void SampleScheduler::CountOut(const Run& run) {
--- a/src/limpethatch/version/sample_scheduler.h
+++ b/src/limpethatch/version/sample_scheduler.h
@@ -73,6 +73,9 @@
   // Work, in running samples, that an engine may have beyond the emptiest one
   // and still get a sample whose group's prompt it has read.
   uint32_t affinity_margin = 2;
+  // A sample that was taken away from an engine does not go back there for so
+  // long, and is not moved again.
+  Duration stay_away = std::chrono::seconds(3);
   // Before a sample that broke twice without an event is tried again.
   Duration suspect_pause = std::chrono::seconds(2);
 };
@@ -114,6 +117,9 @@
   struct Trouble {
     uint32_t breaks = 0;  // Without an event in between.
     TimePoint not_before;
+    // Where it was taken away, and how long it shall not go back there.
+    std::string left_engine;
+    TimePoint stay_away_until;
   };
   struct Candidate {
     SampleKey key;
@@ -122,7 +128,7 @@
   };
 
   void PlanStops(const JobLedger& jobs, TimePoint now, SamplePlan* plan);
-  bool ShouldMove(const Run& run, TimePoint now) const;
+  bool ShouldMove(const SampleKey& key, const Run& run, TimePoint now) const;
   std::vector<Candidate> Waiting(const JobLedger& jobs, TimePoint now) const;
   void AddWaiting(const std::string& id,
                   const Job& job,
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -347,6 +347,7 @@
     }
   }
   HearOf(digest.sender(), now);
+  replica_.Heard(digest.sender().id(), now);
   for (const wire::ControlInstanceRecord& record : digest.known()) {
     if (!peers_.contains(record.id())) {
       HearOf(record, TimePoint::min());
--- a/src/programs/control/main.cc
+++ b/src/programs/control/main.cc
@@ -1,6 +1,5 @@
 // A control instance: one replica of the system's durable state.
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <string>
@@ -67,12 +66,10 @@
   boost::asio::io_context io(1);
   TimerService timers(io);
   ControlService* receiver = nullptr;
-  Messenger messenger({.translation = settings.process.address_translation},
-                      [&io, &receiver](std::string_view message) {
-                        boost::asio::post(
-                            io, [&receiver, bytes = std::string(message)] {
-                              receiver->Receive(bytes);
-                            });
+  Messenger messenger(io,
+                      {.translation = settings.process.address_translation},
+                      [&receiver](std::string_view message) {
+                        receiver->Receive(message);
                       });
   ControlService service(io, timers, messenger, settings);
   receiver = &service;
--- a/src/programs/control/replica_runner.h
+++ b/src/programs/control/replica_runner.h
@@ -46,6 +46,8 @@
   // Starts to add or remove a replica; it counts once it has caught up.
   std::error_code ChangeMembers(const wire::MembersChange& change);
   void HandOver();
+  // A message of another kind came from the replica: it can be reached.
+  void Heard(const std::string& id, TimePoint now) { heard_[id] = now; }
   // Where a replica can be reached, also one that is no member yet.
   void AddContact(const std::string& id, const Endpoint& endpoint);
 
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -1,6 +1,5 @@
 #include "programs/gateway/gateway.h"
 
-#include <boost/asio/post.hpp>
 #include <csignal>
 #include <random>
 #include <utility>
@@ -45,12 +44,9 @@
 Gateway::Gateway(const GatewaySettings& settings, std::string settings_path)
     : settings_(settings),
       settings_path_(std::move(settings_path)),
-      messenger_({.translation = settings.process.address_translation},
-                 [this](std::string_view message) {
-                   boost::asio::post(io_, [this, bytes = std::string(message)] {
-                     Receive(bytes);
-                   });
-                 }),
+      messenger_(io_,
+                 {.translation = settings.process.address_translation},
+                 [this](std::string_view message) { Receive(message); }),
       control_(io_, messenger_, ClientOptions(settings)),
       follower_(timers_,
                 messenger_,
@@ -115,9 +111,9 @@
   Log(LogLevel::kInfo, "stopped");
 }
 
-void Gateway::Receive(const std::string& bytes) {
+void Gateway::Receive(std::string_view bytes) {
   wire::Envelope envelope;
-  if (!envelope.ParseFromString(bytes)) {
+  if (!envelope.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
     Log(LogLevel::kWarning, "message_unreadable", {{"bytes", bytes.size()}});
     return;
   }
--- a/src/programs/gateway/gateway.h
+++ b/src/programs/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <random>
 #include <string>
+#include <string_view>
 
 #include "limpethatch/connection/control_client.h"
 #include "limpethatch/connection/fleet_surface.h"
@@ -42,7 +43,7 @@
                                         const std::string& sample) override;
 
  private:
-  void Receive(const std::string& bytes);
+  void Receive(std::string_view bytes);
   bool Ready() const;
   void UseLimits();
   void WaitForSignal();
