Bring each weight version to an equal share of the engines

Ruled out: run time (1.2 s at the median) and slots. Change: a version goes to engines/models engines, half of them at most; those that hold nothing usable come first.

--- a/src/limpethatch/version/weight_rollout.cc
+++ b/src/limpethatch/version/weight_rollout.cc
@@ -33,10 +33,10 @@
 std::vector<WeightRollout::Wish> WeightRollout::Wishes(
     const std::string& model,
     uint64_t newest,
+    size_t models,
     EngineBoard& board,
     TimePoint now) const {
-  std::vector<Wish> stale;
-  std::vector<Wish> usable;
+  std::vector<Wish> wishes;
   size_t engines = 0;
   size_t on_newest = 0;
   for (auto& [id, engine] : board.engines()) {
@@ -56,22 +56,24 @@
       continue;
     }
     const auto running = engine.running_by_model.find(model);
-    Wish wish{held.version + options_.usable_lag < newest,
-              running == engine.running_by_model.end() ? 0 : running->second,
-              &engine, model, newest};
-    (wish.needed ? stale : usable).push_back(wish);
+    wishes.push_back({held.version + options_.usable_lag < newest,
+                      running == engine.running_by_model.end()
+                          ? 0
+                          : running->second,
+                      &engine, model, newest});
   }
-  const auto wanted = static_cast<size_t>(
-      std::ceil(static_cast<double>(engines) * options_.newest_share));
-  const size_t planned = on_newest + stale.size();
-  const size_t more = wanted > planned ? wanted - planned : 0;
-  const auto by_running = [](const Wish& a, const Wish& b) {
-    return a.running < b.running;
-  };
-  std::stable_sort(usable.begin(), usable.end(), by_running);
-  usable.resize(std::min(usable.size(), more));
-  stale.insert(stale.end(), usable.begin(), usable.end());
-  return stale;
+  const double share =
+      std::min(options_.newest_share, 1.0 / static_cast<double>(models));
+  const auto wanted =
+      static_cast<size_t>(std::ceil(static_cast<double>(engines) * share));
+  std::stable_sort(wishes.begin(), wishes.end(),
+                   [](const Wish& a, const Wish& b) {
+                     return std::tuple(!a.stale, a.running) <
+                            std::tuple(!b.stale, b.running);
+                   });
+  wishes.resize(
+      std::min(wishes.size(), wanted > on_newest ? wanted - on_newest : 0));
+  return wishes;
 }
 
 std::vector<WeightLoad> WeightRollout::Plan(
@@ -81,13 +83,13 @@
   ExpireLoads(board, now);
   std::vector<Wish> wishes;
   for (const auto& [model, version] : newest) {
-    const std::vector<Wish> of_model = Wishes(model, version, board, now);
+    const std::vector<Wish> of_model = Wishes(model, version, newest.size(), board, now);
     wishes.insert(wishes.end(), of_model.begin(), of_model.end());
   }
   std::stable_sort(wishes.begin(), wishes.end(),
                    [](const Wish& a, const Wish& b) {
-                     return std::tuple(!a.needed, a.running) <
-                            std::tuple(!b.needed, b.running);
+                     return std::tuple(!a.stale, a.running) <
+                            std::tuple(!b.stale, b.running);
                    });
   std::map<std::string, size_t> engines;
   std::map<std::string, size_t> loading;
--- a/src/limpethatch/version/weight_rollout.h
+++ b/src/limpethatch/version/weight_rollout.h
@@ -1,11 +1,12 @@
 // Which engine loads which weights when, over all models.
 //
-// Pattern answered: a trainer names a version each few seconds, as fast as a
-// wave over all engines takes, and its next step may still be made by the
-// version before. So an engine is loaded only when the version it has is too
-// old for the next step, half of them are kept on the newest, loads always
-// fetch the newest version, and no more run at once than the store serves at
-// full speed.
+// Pattern answered: several trainers name a version each few seconds, faster
+// than the store can serve all engines, and a step may still be made by the
+// version before its own. So each version goes to an equal share of the
+// engines, half of them at most: engines that hold nothing usable for the model
+// come first, so that those of two successive versions are different ones and
+// serve together. Loads always fetch the newest version, and no more run at
+// once than the store serves at full speed.
 #ifndef LIMPETHATCH_VERSION_WEIGHT_ROLLOUT_H_
 #define LIMPETHATCH_VERSION_WEIGHT_ROLLOUT_H_
 
@@ -26,7 +27,7 @@
   double load_share = 0.2;
   // Versions behind the newest that the next step still takes.
   uint64_t usable_lag = 1;
-  // Share of the engines that is kept on the newest version.
+  // Largest share of the engines that is brought to each version.
   double newest_share = 0.5;
   // Until a load is settled by an announcement; then it is ordered again.
   Duration load_timeout = std::chrono::seconds(4);
@@ -60,7 +61,7 @@
 
  private:
   struct Wish {
-    bool needed = false;  // The engine can't serve the next step as it is.
+    bool stale = false;  // The engine can't serve the model as it is.
     uint32_t running = 0;
     EngineState* engine = nullptr;
     std::string model;
@@ -69,6 +70,7 @@
 
   std::vector<Wish> Wishes(const std::string& model,
                            uint64_t newest,
+                           size_t models,
                            EngineBoard& board,
                            TimePoint now) const;
   void ExpireLoads(EngineBoard& board, TimePoint now);
