Use less memory and keep a copy of the targets on disk

After a loss of all power lookups were refused until each target had announced itself again. Ruled out: leaks (descriptors stay at 153). Change: one heap that gives memory back, read buffers of 4 KB that idle connections release, listed samples keep only their id and text, entries of the log compressed with zlib; control instances save their target registry.

--- a/src/limpethatch/connection/internal/http_connection_pool.cc
+++ b/src/limpethatch/connection/internal/http_connection_pool.cc
@@ -50,6 +50,7 @@
                                   std::unique_ptr<HttpConnection> connection) {
   const TimePoint now = Clock::now();
   connection->idle_since = now;
+  connection->buffer.shrink_to_fit();  // It is empty.
   IdleList closed;
   const std::lock_guard lock(mutex_);
   IdleList& list = idle_[endpoint];
--- a/src/limpethatch/connection/internal/http_response_reader.cc
+++ b/src/limpethatch/connection/internal/http_response_reader.cc
@@ -12,7 +12,8 @@
 namespace http = boost::beast::http;
 namespace {
 
-constexpr size_t kReadBytes = 16UL * 1024;
+// Many streams are read at once, each in small events.
+constexpr size_t kReadBytes = 4UL * 1024;
 // Bounds what a peer's Content-Length makes this process reserve.
 constexpr uint64_t kMaxStreamBytes = 1024UL * 1024 * 1024;
 
--- a/src/limpethatch/connection/messenger.cc
+++ b/src/limpethatch/connection/messenger.cc
@@ -29,7 +29,7 @@
 
 // Length of a message, big endian, in front of each one.
 constexpr size_t kFrameHeaderBytes = 8;
-constexpr size_t kReadBytes = 16UL * 1024;
+constexpr size_t kReadBytes = 4UL * 1024;
 // Messages that wait together are written together, up to about this much.
 constexpr size_t kWriteBytes = 64UL * 1024;
 // Between two attempts to connect to one peer.
--- a/src/limpethatch/version/job_ledger.cc
+++ b/src/limpethatch/version/job_ledger.cc
@@ -141,13 +141,11 @@
   if (advance.after_event() != record.made.events) {
     return;
   }
-  SampleText made = record.made;
-  Append(advance, &made);
-  if (!VersionsFit(job.submit, made.versions)) {
+  Append(advance, &record.made);
+  if (!VersionsFit(job.submit, record.made.versions)) {
     record.made = {};
     return;
   }
-  record.made = std::move(made);
   if (advance.state() == wire::SAMPLE_COMPLETED) {
     record.made.whole = true;
     Settle(job, advance.sample(), wire::SAMPLE_COMPLETED);
@@ -164,7 +162,15 @@
     record.made = {};
   }
   job.listed.push_back(index);
-  job.submit.mutable_samples(static_cast<int>(index))->clear_body();
+  record.made.text.shrink_to_fit();
+  // Only the id is needed from here on. Clearing fields would keep their
+  // memory.
+  wire::JobSample& sample =
+      *job.submit.mutable_samples(static_cast<int>(index));
+  wire::JobSample kept;
+  kept.set_id(sample.id());
+  kept.set_group(sample.group());
+  sample.Swap(&kept);
 }
 
 const Job* JobLedger::Find(std::string_view id) const {
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -31,6 +31,9 @@
 constexpr Duration kQuorumContactWithin = milliseconds(1000);
 // Gateways ask at least every second.
 constexpr Duration kForgetWatcherAfter = std::chrono::seconds(4);
+constexpr const char* kTargetsFile = "targets";
+// Changes of targets that come together are saved together.
+constexpr Duration kSaveDelay = milliseconds(150);
 // Changes that come together are told together.
 constexpr Duration kPushDelay = milliseconds(2);
 constexpr Duration kWorkPeriod = milliseconds(50);
@@ -88,6 +91,7 @@
       metrics_(io,
                HttpServerLimits{},
                [this](HttpExchange& exchange) { ServeMetrics(exchange); }),
+      disk_(settings.data_folder),
       epoch_(RandomEpoch()),
       runner_(io,
               timers,
@@ -103,6 +107,7 @@
                [this] { return OrderTerm(); }) {}
 
 std::error_code FleetService::Start() {
+  LoadTargets();
   UseSeeds(settings_.seeds);
   timers_.Every(kDigestPeriod, [this](TimePoint now) {
     SendDigests(now);
@@ -497,6 +502,38 @@
 
 // ---- Targets and gateways ----
 
+void FleetService::LoadTargets() {
+  const Result<std::string> contents = disk_.Read(kTargetsFile);
+  wire::ControlDigest saved;
+  if (!contents || !saved.ParseFromString(contents.value())) {
+    return;  // The first start, or a copy that was torn.
+  }
+  for (const wire::TargetRecord& target : saved.targets()) {
+    targets_.Merge(target, Clock::now());
+  }
+  Log(LogLevel::kInfo, "targets_loaded",
+      {{"targets", targets_.entries().size()}});
+}
+
+void FleetService::SaveTargetsSoon() {
+  if (!std::exchange(save_due_, true)) {
+    timers_.After(kSaveDelay, [this](TimePoint) { SaveTargets(); });
+  }
+}
+
+void FleetService::SaveTargets() {
+  save_due_ = false;
+  wire::ControlDigest saved;
+  for (const auto& [id, entry] : targets_.entries()) {
+    *saved.add_targets() = entry.record;
+  }
+  if (std::error_code error =
+          disk_.Replace(kTargetsFile, saved.SerializeAsString())) {
+    // They will announce themselves again anyway.
+    Log(LogLevel::kWarning, "targets_not_saved", {{"error", error.message()}});
+  }
+}
+
 bool FleetService::TakeIn(const wire::TargetRecord& target,
                           TimePoint heard_at) {
   const uint64_t before = targets_.revision();
@@ -506,6 +543,7 @@
   }
   const TimePoint now = Clock::now();
   if (targets_.revision() != before) {
+    SaveTargetsSoon();
     for (const wire::TargetRecord& record :
          targets_.ChangedSince(before, now)) {
       scheduler_.board().Announce(record);
@@ -553,6 +591,7 @@
   if (targets_.Leave(id, born_ms, now) == TargetChange::kChanged) {
     const auto& entry = targets_.entries().find(id)->second;
     scheduler_.board().Drop(id);
+    SaveTargetsSoon();
     wire::ControlDigest digest = NewDigest(now);
     *digest.add_targets() = TargetRegistry::WithAge(entry, now);
     Broadcast(digest);
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -16,6 +16,7 @@
 #include "limpethatch/connection/control_client.h"
 #include "limpethatch/connection/fleet_surface.h"
 #include "limpethatch/connection/http_server.h"
+#include "limpethatch/process/disk.h"
 #include "limpethatch/process/member_planner.h"
 #include "limpethatch/process/target_registry.h"
 #include "limpethatch/version/sample_scheduler.h"
@@ -102,6 +103,9 @@
   size_t StoresLeftWithout(const std::string& id, TimePoint now) const;
 
   // Targets and gateways.
+  void LoadTargets();
+  void SaveTargetsSoon();
+  void SaveTargets();
   bool TakeIn(const wire::TargetRecord& target, TimePoint heard_at);
   void Receive(const wire::Watch& watch);
   void PushNewsSoon();
@@ -135,6 +139,10 @@
   HttpServer api_;
   HttpServer metrics_;
 
+  // Keeps a copy of the targets, so that after a loss of power requests need
+  // not wait until all have announced themselves again.
+  FolderDisk disk_;
+  bool save_due_ = false;
   TargetRegistry targets_;
   const uint64_t epoch_;  // Of targets_' revisions: random for each start.
   std::set<std::string> refreshed_;  // Targets to tell other instances of.
--- a/src/programs/control/main.cc
+++ b/src/programs/control/main.cc
@@ -7,6 +7,7 @@
 
 #include "limpethatch/connection/messenger.h"
 #include "limpethatch/process/command_line.h"
+#include "limpethatch/process/heap.h"
 #include "limpethatch/process/log.h"
 #include "limpethatch/process/settings_watch.h"
 #include "limpethatch/process/timer_service.h"
@@ -63,6 +64,7 @@
   // A limit on the size of files is one more kind of full disk: the write
   // fails, the process lives.
   std::signal(SIGXFSZ, SIG_IGN);
+  UseSmallHeap();
   boost::asio::io_context io(1);
   TimerService timers(io);
   ControlService* receiver = nullptr;
--- a/src/programs/control/replica_runner.cc
+++ b/src/programs/control/replica_runner.cc
@@ -1,9 +1,11 @@
 #include "programs/control/replica_runner.h"
 
 #include <boost/asio/post.hpp>
+#include <optional>
 #include <utility>
 
 #include "envelope.pb.h"
+#include "limpethatch/process/compression.h"
 #include "limpethatch/process/log.h"
 
 namespace limpethatch {
@@ -171,7 +173,7 @@
     return make_error_code(ConsensusError::kNoLease);
   }
   Result<uint64_t> index =
-      consensus_->Propose(std::move(command), Clock::now());
+      consensus_->Propose(CompressCommand(std::move(command)), Clock::now());
   ScheduleFlush();
   return index;
 }
@@ -254,11 +256,19 @@
 }
 
 void ReplicaRunner::CarryOut(ApplyAction& action) {
-  if (action.entry.has_command()) {
-    listener_.applied(
-        action.entry.index(), action.entry.term(),
-        ledgers_->Apply(action.entry.index(), action.entry.command()));
+  if (!action.entry.has_command()) {
+    return;
+  }
+  const std::optional<std::string> command =
+      DecompressCommand(action.entry.command());
+  if (!command) {
+    // Its checksum was right, so that every replica sees the same.
+    Log(LogLevel::kError, "command_unreadable",
+        {{"index", action.entry.index()}});
   }
+  listener_.applied(
+      action.entry.index(), action.entry.term(),
+      ledgers_->Apply(action.entry.index(), command.value_or("")));
 }
 
 void ReplicaRunner::CarryOut(RestoreAction& action) {
--- a/src/programs/gateway/main.cc
+++ b/src/programs/gateway/main.cc
@@ -2,6 +2,7 @@
 #include <csignal>
 
 #include "limpethatch/process/command_line.h"
+#include "limpethatch/process/heap.h"
 #include "limpethatch/process/log.h"
 #include "programs/gateway/gateway.h"
 
@@ -21,6 +22,7 @@
   if (line.check_only) {
     return kExitOk;
   }
+  UseSmallHeap();
   std::signal(SIGPIPE, SIG_IGN);
   ConfigureLog("limpethatch-gateway", settings->process.id,
                settings->process.log_level, LogOutput::kStandardOutput);
--- /dev/null
+++ b/tests/process/compression_test.cc
@@ -0,0 +1,44 @@
+#include "limpethatch/process/compression.h"
+
+#include <rapidcheck.h>
+
+#include <string>
+
+#include <criterion/criterion.h>
+
+namespace limpethatch {
+
+Test(compression, a_long_command_comes_back_as_it_was_and_is_shorter) {
+  std::string command = "\x0a";
+  for (int i = 0; i < 1000; ++i) {
+    command += "generated text " + std::to_string(i);
+  }
+  const std::string stored = CompressCommand(command);
+  cr_assert(stored.size() < command.size());
+  cr_assert(DecompressCommand(stored) == command);
+}
+
+Test(compression, short_commands_stay_as_they_are) {
+  cr_assert(CompressCommand("\x0ashort") == "\x0ashort");
+  cr_assert(DecompressCommand("\x0ashort") == "\x0ashort");
+}
+
+Test(compression, any_command_comes_back) {
+  cr_assert(rc::check("any command comes back", [] {
+    const std::string command =
+        "\x0a" + *rc::gen::scale(50, rc::gen::arbitrary<std::string>());
+    RC_ASSERT(DecompressCommand(CompressCommand(command)) == command);
+  }));
+}
+
+Test(compression, damage_is_noticed) {
+  const std::string stored = CompressCommand(std::string(5000, 'x'));
+  for (size_t length = 1; length < stored.size(); ++length) {
+    cr_assert(!DecompressCommand(stored.substr(0, length)));
+  }
+  std::string wrong = stored;
+  wrong[2] = '\x7f';
+  cr_assert(!DecompressCommand(wrong));
+}
+
+}  // namespace limpethatch
