A replica that learns its state anew sends gateways to others

It took 4 s instead of 0.5 as the messenger copied a partial message with each 4 KB. Ruled out: lost pushes (the gateway was told each version as it was applied). Change: a replica that has not applied what its leader committed for 600 ms, or never did, says that it has no quorum contact; a partial message stays in its buffer, which is sized for the whole of it.

--- a/src/limpethatch/connection/messenger.cc
+++ b/src/limpethatch/connection/messenger.cc
@@ -30,6 +30,8 @@
 // Length of a message, big endian, in front of each one.
 constexpr size_t kFrameHeaderBytes = 8;
 constexpr size_t kReadBytes = 4UL * 1024;
+// A larger buffer is freed once its messages were taken.
+constexpr size_t kKeptBytes = 16UL * 1024;
 // Messages that wait together are written together, up to about this much.
 constexpr size_t kWriteBytes = 64UL * 1024;
 // Between two attempts to connect to one peer.
@@ -62,8 +64,9 @@
   explicit Inbound(asio::io_context& io) : socket(io) {}
 
   tcp::socket socket;
-  std::string buffer;  // Bytes that are not yet a whole message.
-  std::string chunk;
+  std::string buffer;
+  size_t used = 0;             // Bytes at its front, not yet a whole message.
+  size_t wanted = kReadBytes;  // Room to make for the next read.
   TimePoint last_used;
 };
 
@@ -325,7 +328,6 @@
           const TimePoint now = Clock::now();
           self->SweepInbound(now);
           inbound->last_used = now;
-          inbound->chunk.resize(kReadBytes);
           self->inbounds.push_back(inbound);
           self->Read(inbound);
         }
@@ -343,14 +345,18 @@
 }
 
 void Messenger::State::Read(const std::shared_ptr<Inbound>& inbound) {
+  if (inbound->buffer.size() < inbound->used + inbound->wanted) {
+    inbound->buffer.resize(inbound->used + inbound->wanted);
+  }
   inbound->socket.async_read_some(
-      asio::buffer(inbound->chunk),
+      asio::buffer(inbound->buffer.data() + inbound->used,
+                   inbound->buffer.size() - inbound->used),
       [self = shared_from_this(), inbound](error_code failed, size_t size) {
         if (self->stopped) {
           return;
         }
         inbound->last_used = Clock::now();
-        inbound->buffer.append(inbound->chunk, 0, size);
+        inbound->used += size;
         if (failed || !self->TakeMessages(*inbound)) {
           error_code ignored;
           inbound->socket.close(ignored);
@@ -362,7 +368,8 @@
 }
 
 bool Messenger::State::TakeMessages(Inbound& inbound) {
-  std::string_view left = inbound.buffer;
+  std::string_view left(inbound.buffer.data(), inbound.used);
+  inbound.wanted = kReadBytes;
   while (left.size() >= kFrameHeaderBytes && !stopped) {
     const auto length = boost::endian::load_big_u64(
         reinterpret_cast<const unsigned char*>(left.data()));
@@ -372,14 +379,22 @@
       return false;
     }
     if (left.size() - kFrameHeaderBytes < length) {
+      inbound.wanted = std::max<size_t>(
+          kReadBytes, kFrameHeaderBytes + length - left.size());
       break;
     }
     bytes_received += length + kFrameHeaderBytes;
     receiver(left.substr(kFrameHeaderBytes, length));
     left.remove_prefix(kFrameHeaderBytes + length);
   }
-  std::string rest(left);
-  inbound.buffer.swap(rest);
+  // Once for each read that completed a message, not for each read.
+  if (left.size() < inbound.used) {
+    inbound.buffer.erase(0, inbound.used - left.size());
+    inbound.used = left.size();
+    if (inbound.used == 0 && inbound.buffer.size() > kKeptBytes) {
+      std::string().swap(inbound.buffer);
+    }
+  }
   return true;
 }
 
--- a/src/limpethatch/process/consensus.h
+++ b/src/limpethatch/process/consensus.h
@@ -101,6 +101,11 @@
   // that was sent no earlier. Holds without any assumption on clocks, and
   // what is applied then is no older than what was committed at `since`.
   bool LedSince(TimePoint since, TimePoint now) const;
+  // True if the leader, as far as it was heard, has committed more than is
+  // applied here, or if none was heard since the start.
+  bool Behind() const {
+    return !leading() && (leader_commit_ == 0 || applied_ < leader_commit_);
+  }
   // The known members are committed, not only proposed.
   bool MembersCommitted() const { return log_.members_index() <= commit_; }
   // Another replica to greet, beside the founders and the members.
@@ -192,6 +197,7 @@
   std::string leader_;
   uint64_t commit_ = 0;
   uint64_t applied_ = 0;
+  uint64_t leader_commit_ = 0;  // As the last leader said; 0: none was heard.
   uint64_t verified_ = 0;  // Equal to the present leader's log up to here.
   TimePoint refuse_votes_until_;
   TimePoint election_at_;
--- a/src/limpethatch/process/consensus_replication.cc
+++ b/src/limpethatch/process/consensus_replication.cc
@@ -94,6 +94,7 @@
   BecomeFollower(message.term(), now);
   leader_ = message.from();
   refuse_votes_until_ = now + options_.election_timeout;
+  leader_commit_ = append.commit();
   const uint64_t previous = append.previous_index();
   const std::optional<uint64_t> own_term = log_.TermAt(previous);
   if (previous >= log_.snapshot_index() && own_term != append.previous_term()) {
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -29,6 +29,9 @@
 constexpr Duration kReplaceAfter = milliseconds(2500);
 // Another replica led or heard a leader within this time: two elections.
 constexpr Duration kQuorumContactWithin = milliseconds(1000);
+// A replica whose state was older than the leader's for so long sends gateways
+// to others: one that comes back with an empty disk has all to learn.
+constexpr Duration kMostBehind = milliseconds(600);
 // Gateways ask at least every second.
 constexpr Duration kForgetWatcherAfter = std::chrono::seconds(4);
 constexpr const char* kTargetsFile = "targets";
@@ -119,7 +122,10 @@
     }
     targets_.Expire(now);
   });
-  timers_.Every(kWorkPeriod, [this](TimePoint now) { Work(now); });
+  timers_.Every(kWorkPeriod, [this](TimePoint now) {
+    NoteProgress(now);
+    Work(now);
+  });
   timers_.Every(kReadPeriod, [this](TimePoint now) {
     AnswerConfirmed(now);
     AnswerReaders(now);
@@ -159,6 +165,13 @@
          consensus->applied_index() == consensus->commit_index();
 }
 
+void FleetService::NoteProgress(TimePoint now) {
+  if (const Consensus* consensus = replica_.consensus();
+      consensus && !consensus->Behind()) {
+    last_level_ = now;
+  }
+}
+
 bool FleetService::HasQuorumContact(TimePoint now) const {
   const Consensus* consensus = replica_.consensus();
   if (!consensus) {
@@ -167,7 +180,9 @@
   if (consensus->leading()) {
     return consensus->HoldsLease(now);
   }
-  return !consensus->leader().empty() &&
+  const bool level = last_level_ != TimePoint::min() &&
+                     now - last_level_ < kMostBehind;
+  return level && !consensus->leader().empty() &&
          now - replica_.HeardFrom(consensus->leader()) < kQuorumContactWithin;
 }
 
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -89,7 +89,9 @@
   const FleetLedger& ledger() const { return replica_.ledgers().fleet(); }
   // Leads, holds its lease, and has applied all that came before.
   bool Active(TimePoint now) const;
-  // Leads, or hears a leader.
+  // Keeps track of whether this replica follows the leader closely.
+  void NoteProgress(TimePoint now);
+  // Leads, or hears a leader and has applied nearly all that it committed.
   bool HasQuorumContact(TimePoint now) const;
 
   // Control instances.
@@ -149,6 +151,8 @@
   std::map<std::string, Peer> peers_;  // Control instances by id.
   std::map<std::string, Watcher> watchers_;  // Gateways by instance id.
   bool push_due_ = false;
+  // When all that the leader had committed was applied here last.
+  TimePoint last_level_ = TimePoint::min();
   uint64_t pushed_version_ = 0;
 
   std::vector<JobReader> job_readers_;
--- a/tests/process/consensus_test.cc
+++ b/tests/process/consensus_test.cc
@@ -212,6 +212,52 @@
   cr_assert_str_empty(world.violation().c_str());
 }
 
+// Seen on a day: gateways were sent an old configuration by a replica that had
+// lost its disk and was learning everything again.
+Test(consensus, a_replica_with_an_empty_disk_is_behind_until_it_has_all) {
+  ConsensusWorld world(3, 21);
+  cr_assert(world.RunUntil(seconds(5), [&] { return world.Healed(); }));
+  const size_t lost = (*world.Leader() + 1) % 3;
+  for (int i = 0; i < 50; ++i) {
+    world.Propose();
+    world.Run(milliseconds(20));
+  }
+  cr_assert(!world.at(lost).Behind());
+  world.Crash(lost);
+  world.LoseDisk(lost);
+  world.Start(lost);
+  cr_assert(world.at(lost).Behind(), "no leader was heard yet");
+  cr_assert(world.RunUntil(seconds(5), [&] {
+    const bool has_all =
+        world.applied(lost).size() == world.applied(*world.Leader()).size();
+    cr_assert(has_all || world.at(lost).Behind());
+    return !world.at(lost).Behind();
+  }));
+}
+
+// A read is answered from a state no older than what stood when it was asked,
+// also by a leader whose clock stood still meanwhile.
+Test(consensus, a_leader_that_was_replaced_never_confirms_a_later_read) {
+  ConsensusWorld world(3, 22);
+  cr_assert(world.RunUntil(seconds(5), [&] { return world.Healed(); }));
+  const size_t old = *world.Leader();
+  const TimePoint asked = world.now(old);
+  cr_assert(world.RunUntil(seconds(1), [&] {
+    return world.at(old).LedSince(asked, world.now(old));
+  }));
+  world.Freeze(old, true);
+  cr_assert(world.RunUntil(seconds(5), [&] {
+    const auto leader = world.Leader();
+    return leader && *leader != old;
+  }));
+  world.Freeze(old, false);
+  const TimePoint later = world.now(old);
+  for (int i = 0; i < 100; ++i) {
+    cr_assert(!world.at(old).LedSince(later, world.now(old)));
+    world.Run(milliseconds(10));
+  }
+}
+
 Test(consensus, a_disk_that_has_caught_up_in_part_does_not_count) {
   for (int steps = 2; steps < 40; steps += 2) {
     ConsensusWorld world(3, 9);
