--- a/src/limpethatch/connection/control_client.cc
+++ b/src/limpethatch/connection/control_client.cc
@@ -92,8 +92,8 @@
   std::atomic<uint64_t> incarnation_;
 
   mutable std::mutex mutex_;  // Guards what follows, and waiters' replies.
-  std::vector<Endpoint> endpoints_;  // Only grows.
-  std::vector<Replica> replicas_;    // One for each endpoint.
+  std::vector<Endpoint> endpoints_;       // Only grows.
+  std::vector<Replica> replicas_;         // One for each endpoint.
   std::map<uint64_t, Attempt> attempts_;  // By request id.
   uint64_t last_id_ = 0;
   size_t likely_leader_;
--- a/src/limpethatch/connection/http_server.h
+++ b/src/limpethatch/connection/http_server.h
@@ -72,8 +72,8 @@
   // connections are closed soon, while new ones are still accepted.
   void EndKeepAlive();
 
-  // The rest of a planned stop: accepts nothing new, answers what has begun with
-  // "Connection: close", and closes connections that stay idle.
+  // The rest of a planned stop: accepts nothing new, answers what has begun
+  // with "Connection: close", and closes connections that stay idle.
   void Drain();
 
   // Requests whose handler is still running.
--- a/src/limpethatch/connection/internal/http_server_connection.cc
+++ b/src/limpethatch/connection/internal/http_server_connection.cc
@@ -88,8 +88,8 @@
 
   std::error_code Write(std::string_view text, State next) {
     size_t written = 0;
-    const std::error_code error =
-        socket_->Write(yield_, text, serving_->Limits().write_timeout, &written);
+    const std::error_code error = socket_->Write(
+        yield_, text, serving_->Limits().write_timeout, &written);
     state_ = error ? State::kFailed : next;
     return error;
   }
--- a/src/limpethatch/connection/messenger.cc
+++ b/src/limpethatch/connection/messenger.cc
@@ -315,24 +315,22 @@
 
 void Messenger::State::Accept() {
   auto inbound = std::make_shared<Inbound>(io);
-  acceptor.async_accept(
-      inbound->socket,
-      [self = shared_from_this(), inbound](error_code failed) {
-        if (failed == asio::error::operation_aborted || self->stopped) {
-          return;
-        }
-        if (failed) {
-          Log(LogLevel::kWarning, "accept_failed",
-              {{"error", failed.message()}});
-        } else {
-          const TimePoint now = Clock::now();
-          self->SweepInbound(now);
-          inbound->last_used = now;
-          self->inbounds.push_back(inbound);
-          self->Read(inbound);
-        }
-        self->Accept();
-      });
+  acceptor.async_accept(inbound->socket, [self = shared_from_this(),
+                                          inbound](error_code failed) {
+    if (failed == asio::error::operation_aborted || self->stopped) {
+      return;
+    }
+    if (failed) {
+      Log(LogLevel::kWarning, "accept_failed", {{"error", failed.message()}});
+    } else {
+      const TimePoint now = Clock::now();
+      self->SweepInbound(now);
+      inbound->last_used = now;
+      self->inbounds.push_back(inbound);
+      self->Read(inbound);
+    }
+    self->Accept();
+  });
 }
 
 void Messenger::State::SweepInbound(TimePoint now) {
@@ -468,12 +466,12 @@
   if (error) {
     return error;
   }
-  asio::post(state_->io, [state = state_,
-                          socket = std::make_shared<tcp::acceptor>(
-                              std::move(acceptor))] {
-    state->acceptor = std::move(*socket);
-    state->Accept();
-  });
+  asio::post(state_->io,
+             [state = state_,
+              socket = std::make_shared<tcp::acceptor>(std::move(acceptor))] {
+               state->acceptor = std::move(*socket);
+               state->Accept();
+             });
   return {};
 }
 
@@ -501,9 +499,8 @@
   for (const State::PeerPtr& closing : idle) {
     state_->Close(closing);
   }
-  asio::post(state_->io, [state = state_, peer, endpoint] {
-    state->Kick(peer, endpoint);
-  });
+  asio::post(state_->io,
+             [state = state_, peer, endpoint] { state->Kick(peer, endpoint); });
 }
 
 void Messenger::Reset(const Endpoint& endpoint) {
--- a/src/limpethatch/process/consensus.h
+++ b/src/limpethatch/process/consensus.h
@@ -198,7 +198,7 @@
   uint64_t commit_ = 0;
   uint64_t applied_ = 0;
   uint64_t leader_commit_ = 0;  // As the last leader said; 0: none was heard.
-  uint64_t verified_ = 0;  // Equal to the present leader's log up to here.
+  uint64_t verified_ = 0;       // Equal to the present leader's log up to here.
   TimePoint refuse_votes_until_;
   TimePoint election_at_;
   TimePoint next_heartbeat_;
--- a/src/limpethatch/process/log.cc
+++ b/src/limpethatch/process/log.cc
@@ -32,8 +32,8 @@
   int64_t left_out = 0;
 };
 
-// A descriptor written to without blocking. A line that can't be written at once
-// waits; a full disk or pipe costs lines, never time.
+// A descriptor written to without blocking. A line that can't be written at
+// once waits; a full disk or pipe costs lines, never time.
 class Output {
  public:
   void Use(int descriptor) {
@@ -51,7 +51,8 @@
     }
     if (dropped_ > 0) {
       waiting_ += fmt::format(
-          R"({{"level":"warning","event":"log_dropped","lines":{}}})" "\n",
+          R"({{"level":"warning","event":"log_dropped","lines":{}}})"
+          "\n",
           std::exchange(dropped_, 0));
     }
     waiting_ += line;
@@ -172,11 +173,13 @@
   if (!Admit(state, event, &left_out)) {
     return;
   }
-  const auto wall = std::chrono::time_point_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now());
-  std::string line =
-      fmt::format(R"({{"time":"{:%FT%T}Z","level":"{}",{}"event":{})", wall,
-                  LevelName(level), state.prefix, Quote(event));
+  const auto wall = std::chrono::system_clock::now();
+  const auto second = std::chrono::floor<std::chrono::seconds>(wall);
+  const auto fraction =
+      std::chrono::duration_cast<std::chrono::milliseconds>(wall - second);
+  std::string line = fmt::format(
+      R"({{"time":"{:%FT%T}.{:03}Z","level":"{}",{}"event":{})", second,
+      fraction.count(), LevelName(level), state.prefix, Quote(event));
   for (const LogField& field : fields) {
     line += fmt::format(",{}:{}", Quote(field.key()), field.json());
   }
--- a/src/limpethatch/process/member_planner.h
+++ b/src/limpethatch/process/member_planner.h
@@ -15,8 +15,8 @@
   std::string id;
   std::string endpoint;
   std::string zone;
-  bool alive = false;    // Heard from of late.
-  bool silent = false;   // Not heard from for so long that it is replaced.
+  bool alive = false;   // Heard from of late.
+  bool silent = false;  // Not heard from for so long that it is replaced.
   bool member = false;
   bool votes = false;    // A member whose disk counts.
   bool retired = false;  // To be emptied.
--- a/src/limpethatch/request/live_attempts.h
+++ b/src/limpethatch/request/live_attempts.h
@@ -24,9 +24,9 @@
 };
 
 enum class AttemptEnd {
-  kNotRun,    // It was provably not run: refused, or no connection.
-  kFailed,    // The target answered that it failed.
-  kUnknown,   // It may have run; no answer will come.
+  kNotRun,   // It was provably not run: refused, or no connection.
+  kFailed,   // The target answered that it failed.
+  kUnknown,  // It may have run; no answer will come.
 };
 
 struct LiveAction {
--- a/src/limpethatch/version/configuration_check.cc
+++ b/src/limpethatch/version/configuration_check.cc
@@ -24,8 +24,8 @@
     }
   }
   if (total <= 0) {
-    faults->push_back(fmt::format("the weights of route \"{}\" add up to 0",
-                                  route.name()));
+    faults->push_back(
+        fmt::format("the weights of route \"{}\" add up to 0", route.name()));
   }
 }
 
--- a/src/limpethatch/version/configuration_check.h
+++ b/src/limpethatch/version/configuration_check.h
@@ -12,7 +12,8 @@
 // What is wrong with it, one sentence each; empty if it is valid. Invalid is
 // a route to an unknown service, two routes of one host and prefix, a route
 // without weight, and a time-out of 0.
-std::vector<std::string> FaultsOf(const wire::FleetConfiguration& configuration);
+std::vector<std::string> FaultsOf(
+    const wire::FleetConfiguration& configuration);
 
 }  // namespace limpethatch
 
--- a/src/limpethatch/version/engine_board.cc
+++ b/src/limpethatch/version/engine_board.cc
@@ -134,7 +134,8 @@
   if (gaps.empty()) {
     return {};
   }
-  const auto middle = gaps.begin() + static_cast<std::ptrdiff_t>(gaps.size() / 2);
+  const auto middle =
+      gaps.begin() + static_cast<std::ptrdiff_t>(gaps.size() / 2);
   std::nth_element(gaps.begin(), middle, gaps.end());
   return *middle;
 }
--- a/src/limpethatch/version/job_ledger.cc
+++ b/src/limpethatch/version/job_ledger.cc
@@ -35,10 +35,9 @@
 
 bool VersionsFit(const wire::JobSubmit& submit,
                  const std::vector<uint64_t>& versions) {
-  const bool recent =
-      std::all_of(versions.begin(), versions.end(), [&](uint64_t version) {
-        return version >= submit.min_version();
-      });
+  const bool recent = std::all_of(
+      versions.begin(), versions.end(),
+      [&](uint64_t version) { return version >= submit.min_version(); });
   return recent && (!submit.single_version() || versions.size() <= 1);
 }
 
--- a/src/limpethatch/version/sample_scheduler.cc
+++ b/src/limpethatch/version/sample_scheduler.cc
@@ -162,9 +162,9 @@
       group.waiting.push_back({key, &job, left});
     }
   }
-  uint32_t wanted =
-      job.submit.group_count() != 0 ? job.submit.group_count()
-                                    : static_cast<uint32_t>(groups.size());
+  uint32_t wanted = job.submit.group_count() != 0
+                        ? job.submit.group_count()
+                        : static_cast<uint32_t>(groups.size());
   std::vector<Group*> open;
   for (auto& [name, group] : groups) {
     if (group.whole) {
@@ -193,8 +193,7 @@
 EngineState* SampleScheduler::ChooseEngine(const Candidate& candidate,
                                            TimePoint now) {
   const wire::JobSubmit& submit = candidate.job->submit;
-  const auto& sample =
-      submit.samples(static_cast<int>(candidate.key.index));
+  const auto& sample = submit.samples(static_cast<int>(candidate.key.index));
   const SampleText& made = candidate.job->samples[candidate.key.index].made;
   const uint64_t tokens = sample.prompt_tokens() + sample.expected_tokens();
   const Duration typical = board_.TypicalGap(submit.service());
@@ -217,8 +216,9 @@
     // One sample finds out whether an engine that failed is back.
     const bool unproven =
         engine.avoid_for > Duration::zero() && engine.running > 0;
-    if (left || unproven || engine.service != submit.service() || !engine.Usable(now) ||
-        engine.running >= engine.slots || !fits_version || !has_room) {
+    if (left || unproven || engine.service != submit.service() ||
+        !engine.Usable(now) || engine.running >= engine.slots ||
+        !fits_version || !has_room) {
       continue;
     }
     double pace = 1.0;
@@ -244,8 +244,7 @@
                             TimePoint now,
                             SamplePlan* plan) {
   const wire::JobSubmit& submit = candidate.job->submit;
-  const auto& sample =
-      submit.samples(static_cast<int>(candidate.key.index));
+  const auto& sample = submit.samples(static_cast<int>(candidate.key.index));
   Run& run = runs_[candidate.key];
   run.engine = engine.id;
   run.model = submit.model();
@@ -258,8 +257,8 @@
   engine.reserved_tokens += run.tokens;
   ++engine.running_by_model[run.model];
   ++engine.groups[run.group];
-  plan->starts.push_back({candidate.key, engine.id,
-                          engine.OpenVersion(submit.model(), now)});
+  plan->starts.push_back(
+      {candidate.key, engine.id, engine.OpenVersion(submit.model(), now)});
 }
 
 void SampleScheduler::Event(const SampleKey& key,
@@ -331,11 +330,11 @@
 }
 
 bool SampleScheduler::idle(const JobLedger& jobs) const {
-  return runs_.empty() &&
-         std::all_of(jobs.jobs().begin(), jobs.jobs().end(),
-                     [](const auto& entry) {
-                       return entry.second.ended || entry.second.AllListed();
-                     });
+  return runs_.empty() && std::all_of(jobs.jobs().begin(), jobs.jobs().end(),
+                                      [](const auto& entry) {
+                                        return entry.second.ended ||
+                                               entry.second.AllListed();
+                                      });
 }
 
 }  // namespace limpethatch
--- a/src/limpethatch/version/sample_scheduler.h
+++ b/src/limpethatch/version/sample_scheduler.h
@@ -36,9 +36,9 @@
 };
 
 enum class StopReason {
-  kJobOver,   // The job ended, or the sample is listed.
-  kSlow,      // Another engine would have it done much sooner.
-  kSilent,    // No event came for too long.
+  kJobOver,  // The job ended, or the sample is listed.
+  kSlow,     // Another engine would have it done much sooner.
+  kSilent,   // No event came for too long.
   kEngineGone,
 };
 
@@ -53,11 +53,11 @@
 };
 
 enum class RunEnd {
-  kDone,      // Finished or given up; it only has to be listed.
-  kNotRun,    // The engine refused it and did not run it.
-  kFailed,    // The engine answered with an error of its own.
-  kBroken,    // The stream broke off.
-  kStopped,   // By a SampleStop.
+  kDone,     // Finished or given up; it only has to be listed.
+  kNotRun,   // The engine refused it and did not run it.
+  kFailed,   // The engine answered with an error of its own.
+  kBroken,   // The stream broke off.
+  kStopped,  // By a SampleStop.
 };
 
 struct SampleSchedulerOptions {
--- a/src/limpethatch/version/weight_rollout.cc
+++ b/src/limpethatch/version/weight_rollout.cc
@@ -72,9 +72,9 @@
     const uint32_t runs =
         running == engine.running_by_model.end() ? 0 : running->second;
     const size_t in_zone = newest_by_zone[engine.zone];
-    if (!best.engine || std::tuple(!stale, in_zone, runs) <
-                            std::tuple(!best.stale, best.in_zone,
-                                       best.running)) {
+    if (!best.engine ||
+        std::tuple(!stale, in_zone, runs) <
+            std::tuple(!best.stale, best.in_zone, best.running)) {
       best = {stale, in_zone, runs, &engine, model, newest, 0};
     }
   }
--- a/src/limpethatch/version/weight_rollout.h
+++ b/src/limpethatch/version/weight_rollout.h
@@ -6,8 +6,9 @@
 // engines, half of them at most: engines that hold nothing usable for the model
 // come first, so that those of two successive versions are different ones and
 // serve together, and the zones take turns, so that the loss of one leaves
-// some; the model with the fewest engines that serve it goes first. Loads always fetch the newest version, and no more run at
-// once than the store serves at full speed.
+// some; the model with the fewest engines that serve it goes first. Loads
+// always fetch the newest version, and no more run at once than the store
+// serves at full speed.
 #ifndef LIMPETHATCH_VERSION_WEIGHT_ROLLOUT_H_
 #define LIMPETHATCH_VERSION_WEIGHT_ROLLOUT_H_
 
--- a/src/programs/control/control_settings.cc
+++ b/src/programs/control/control_settings.cc
@@ -47,7 +47,8 @@
     reader.Fault("dispatch", "expected \"weighted\" or \"fifo\"");
   }
   std::set<std::string> ids;
-  for (JsonReader& element : reader.Elements("replicas", fleet ? kOptional : kRequired)) {
+  for (JsonReader& element :
+       reader.Elements("replicas", fleet ? kOptional : kRequired)) {
     wire::Member& replica = replicas.emplace_back();
     Endpoint endpoint;
     element.Read("id", replica.mutable_id(), kRequired);
--- a/src/programs/control/control_settings.h
+++ b/src/programs/control/control_settings.h
@@ -30,9 +30,9 @@
 
   // Serves a fleet of routes, targets and batch jobs besides.
   bool fleet = false;
-  std::string name;      // By which operators call this instance.
-  Endpoint api;          // For operators, trainers and targets.
-  Endpoint metrics;      // Port 0: none.
+  std::string name;  // By which operators call this instance.
+  Endpoint api;      // For operators, trainers and targets.
+  Endpoint metrics;  // Port 0: none.
   // Addresses of a few control instances; their hosts count, as all listen for
   // messages at the same port. They found the group at the first start.
   std::vector<Endpoint> seeds;
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -103,11 +103,9 @@
                  return Record(advances);
                },
                [this] { WorkSoon(); }}),
-      orderer_(io,
-               settings.process.id,
-               scheduler_.board(),
-               rollout_,
-               [this] { return OrderTerm(); }) {}
+      orderer_(io, settings.process.id, scheduler_.board(), rollout_, [this] {
+        return OrderTerm();
+      }) {}
 
 std::error_code FleetService::Start() {
   LoadTargets();
@@ -180,8 +178,8 @@
   if (consensus->leading()) {
     return consensus->HoldsLease(now);
   }
-  const bool level = last_level_ != TimePoint::min() &&
-                     now - last_level_ < kMostBehind;
+  const bool level =
+      last_level_ != TimePoint::min() && now - last_level_ < kMostBehind;
   return level && !consensus->leader().empty() &&
          now - replica_.HeardFrom(consensus->leader()) < kQuorumContactWithin;
 }
@@ -359,8 +357,8 @@
 void FleetService::Receive(const wire::ControlDigest& digest) {
   const TimePoint now = Clock::now();
   const auto known = peers_.find(digest.sender().id());
-  const bool was_silent = known == peers_.end() ||
-                          now - known->second.heard_at > kAliveWithin;
+  const bool was_silent =
+      known == peers_.end() || now - known->second.heard_at > kAliveWithin;
   if (was_silent) {
     Log(LogLevel::kInfo, "control_instance_heard",
         {{"id", digest.sender().id()}, {"name", digest.sender().name()}});
@@ -423,8 +421,8 @@
       }
     }
   };
-  add(settings_.process.id, settings_.peers.ToString(),
-      settings_.process.zone, now);
+  add(settings_.process.id, settings_.peers.ToString(), settings_.process.zone,
+      now);
   for (const auto& [id, peer] : peers_) {
     add(id, peer.record.endpoint(), peer.record.zone(), peer.heard_at);
   }
@@ -475,9 +473,8 @@
   const TimePoint now = Clock::now();
   const Peer* peer = FindByName(name);
   if (!peer && name != settings_.name) {
-    return HasQuorumContact(now)
-               ? std::optional(Emptying::kUnknownInstance)
-               : std::nullopt;
+    return HasQuorumContact(now) ? std::optional(Emptying::kUnknownInstance)
+                                 : std::nullopt;
   }
   const std::string id = peer ? peer->record.id() : settings_.process.id;
   if (!ledger().retired().contains(id)) {
@@ -581,10 +578,9 @@
 bool FleetService::KnowsService(std::string_view service) const {
   const wire::FleetConfiguration& stands = ledger().configuration();
   return stands.version() == 0 ||
-         std::any_of(stands.services().begin(), stands.services().end(),
-                     [&](const auto& declared) {
-                       return declared.name() == service;
-                     });
+         std::any_of(
+             stands.services().begin(), stands.services().end(),
+             [&](const auto& declared) { return declared.name() == service; });
 }
 
 bool FleetService::Announce(const wire::TargetRecord& target) {
@@ -691,8 +687,7 @@
     Yield yield,
     const wire::FleetConfiguration& configuration) {
   wire::Command command;
-  *command.mutable_configuration_put()->mutable_configuration() =
-      configuration;
+  *command.mutable_configuration_put()->mutable_configuration() = configuration;
   const Written written = Write(yield, std::move(command));
   Log(LogLevel::kInfo, "configuration_put",
       {{"version", configuration.version()},
@@ -809,8 +804,7 @@
     declared_version_ = stands.version();
     for (const wire::ServiceDeclaration& service : stands.services()) {
       scheduler_.SetTokensPerEvent(service.name(), service.tokens_per_event());
-      scheduler_.board().SetCacheTokens(service.name(),
-                                        service.cache_tokens());
+      scheduler_.board().SetCacheTokens(service.name(), service.cache_tokens());
     }
   }
   if (OrderTerm() != 0) {
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -147,7 +147,7 @@
   bool save_due_ = false;
   TargetRegistry targets_;
   const uint64_t epoch_;  // Of targets_' revisions: random for each start.
-  std::set<std::string> refreshed_;  // Targets to tell other instances of.
+  std::set<std::string> refreshed_;    // Targets to tell other instances of.
   std::map<std::string, Peer> peers_;  // Control instances by id.
   std::map<std::string, Watcher> watchers_;  // Gateways by instance id.
   bool push_due_ = false;
--- a/src/programs/control/main.cc
+++ b/src/programs/control/main.cc
@@ -68,11 +68,9 @@
   boost::asio::io_context io(1);
   TimerService timers(io);
   ControlService* receiver = nullptr;
-  Messenger messenger(io,
-                      {.translation = settings.process.address_translation},
-                      [&receiver](std::string_view message) {
-                        receiver->Receive(message);
-                      });
+  Messenger messenger(
+      io, {.translation = settings.process.address_translation},
+      [&receiver](std::string_view message) { receiver->Receive(message); });
   ControlService service(io, timers, messenger, settings);
   receiver = &service;
   if (std::error_code error = service.Start()) {
--- a/src/programs/control/sample_runner.h
+++ b/src/programs/control/sample_runner.h
@@ -56,7 +56,7 @@
  private:
   // What is known of a sample beyond the log.
   struct Progress {
-    uint32_t proposed = 0;  // Events handed to the log.
+    uint32_t proposed = 0;            // Events handed to the log.
     std::vector<std::string> events;  // Not yet handed to it.
     std::set<uint64_t> versions;      // Of all events.
     std::set<uint64_t> new_versions;
--- a/src/programs/ctl/commands.h
+++ b/src/programs/ctl/commands.h
@@ -21,6 +21,7 @@
   std::string author;
   bool allow_disruption = false;
   std::string html;  // Where a page is written; empty for none.
+  std::string logs;  // A folder with the logs of all processes.
 };
 
 // Checks a manifest file without any instance.
@@ -37,6 +38,8 @@
 int Burn(const CommandOptions& options);
 // Starts a planned stop of the instance that is called.
 int Drain(const CommandOptions& options);
+// What became of the request, job, sample or configuration that is named.
+int ExplainId(const CommandOptions& options);
 // Prints the completion script for bash.
 int Completion(const CommandOptions& options);
 
--- a/src/programs/ctl/completion_command.cc
+++ b/src/programs/ctl/completion_command.cc
@@ -7,7 +7,7 @@
 
 constexpr const char* kBashCompletion = R"(_limpethatchctl() {
   local current="${COMP_WORDS[COMP_CWORD]}"
-  local commands="check diff apply status history burn drain completion"
+  local commands="check diff apply status history burn drain explain completion"
   local options="--at --key-file --timeout --format --expect-version
     --change-id --author --allow-disruption --html --help --version"
   if [[ $current == -* ]]; then
--- /dev/null
+++ b/src/programs/ctl/explanation.cc
@@ -0,0 +1,207 @@
+#include "programs/ctl/explanation.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <map>
+#include <set>
+#include <sstream>
+#include <tuple>
+#include <utility>
+
+namespace limpethatch {
+namespace json = boost::json;
+namespace {
+
+constexpr std::string_view kConfigurationPrefix = "configuration/";
+// Members that name what a line is about.
+constexpr std::array<const char*, 3> kIdMembers{"request", "job", "sample"};
+// Members that stand on every line.
+const std::set<std::string, std::less<>> kCommonMembers{
+    "time", "level", "program", "instance", "event"};
+
+std::string Text(const json::object& object, std::string_view name) {
+  const json::value* value = object.if_contains(name);
+  if (!value) {
+    return {};
+  }
+  return value->is_string() ? std::string(value->as_string())
+                            : json::serialize(*value);
+}
+
+bool IsAbout(const json::object& line, std::string_view id) {
+  if (id.starts_with(kConfigurationPrefix)) {
+    const std::string event = Text(line, "event");
+    return event.starts_with("configuration_") &&
+           Text(line, "version") == id.substr(kConfigurationPrefix.size());
+  }
+  return std::any_of(
+      kIdMembers.begin(), kIdMembers.end(),
+      [&](const char* member) { return Text(line, member) == id; });
+}
+
+// What each reason that is logged means.
+const std::map<std::string, std::string, std::less<>>& Reasons() {
+  static const std::map<std::string, std::string, std::less<>> reasons{
+      {"deadline", "its time was over before a target had answered"},
+      {"no_target", "no target of its service was known there"},
+      {"targets_full",
+       "every target of its service refused it; it did not run"},
+      {"targets_failed",
+       "the targets that may have run it gave no whole answer"},
+      {"target_error", "the target that ran it answered with an error"},
+      {"no route", "no route of the configuration in force there matched"},
+      {"no configuration is known here yet",
+       "the gateway had just started and knew no configuration"},
+      {"the state of jobs is not known here now",
+       "the gateway reached no leader of the control group"},
+      {"no quorum; nothing was accepted",
+       "the control group had no quorum; nothing was accepted"},
+      {"slow_engine", "its engine had turned slow; it went on at another one"},
+      {"silent_engine", "its engine sent nothing for too long"},
+      {"job_over", "its job was ended by its client"},
+      {"engine_full", "the engine refused it, full or loading weights"},
+      {"misdirected", "another target had the address"},
+      {"weights_too_old", "the engine's weights were too old for its job"},
+      {"weights_changed",
+       "the engine changed its weights, and the job takes one version only"},
+      {"cannot_be_done", "the engine said that it can never be done"},
+      {"engine_error", "the engine answered with an error"},
+      {"uncertain",
+       "its outcome was not known when the caller had to be answered"},
+      {"not_done", "the control group had no quorum; nothing was done"}};
+  return reasons;
+}
+
+std::string Meaning(const std::string& reason) {
+  const auto found = Reasons().find(reason);
+  return found == Reasons().end() ? reason : found->second;
+}
+
+// The later of two lines matters more; plain progress matters least.
+int Weight(const LoggedEvent& event) {
+  static const std::map<std::string, int, std::less<>> weights{
+      {"given_up", 4},
+      {"refused", 4},
+      {"configuration_refused", 4},
+      {"samples_given_up", 4},
+      {"sample_stopped", 4},
+      {"configuration_put", 3},
+      {"job_submitted", 2},
+      {"sample_ended", 3},
+      {"attempt_failed", 2}};
+  const auto found = weights.find(event.event);
+  return found == weights.end() ? 0 : found->second;
+}
+
+std::string CauseOf(const std::vector<LoggedEvent>& events) {
+  const LoggedEvent* decisive = nullptr;
+  for (const LoggedEvent& event : events) {
+    if (Weight(event) > 0 &&
+        (!decisive || Weight(event) >= Weight(*decisive))) {
+      decisive = &event;
+    }
+  }
+  if (!decisive) {
+    return events.empty() ? "No line of the logs names it."
+                          : "Nothing that went wrong was logged for it.";
+  }
+  const json::object& fields = decisive->fields;
+  std::string reason = Text(fields, "reason");
+  if (reason.empty()) {
+    reason = Text(fields, "outcome");
+  }
+  std::string cause = fmt::format("{} at {}: {}", decisive->event,
+                                  decisive->instance, Meaning(reason));
+  if (const std::string target = Text(fields, "target"); !target.empty()) {
+    cause += fmt::format(" (target {})", target);
+  }
+  if (const std::string ran = Text(fields, "ran"); !ran.empty()) {
+    cause += fmt::format("; told to the caller: {}", ran);
+  }
+  return cause + ".";
+}
+
+// Orders of weights to the engines that ran the sample belong to it.
+bool IsOrderDuring(const LoggedEvent& event,
+                   const std::set<std::string>& targets,
+                   const std::string& first,
+                   const std::string& last) {
+  return event.event.starts_with("weights_order") &&
+         targets.contains(Text(event.fields, "target")) &&
+         event.time >= first && event.time <= last;
+}
+
+}  // namespace
+
+Explanation Explain(std::string_view id, const std::vector<std::string>& logs) {
+  Explanation explanation;
+  std::vector<LoggedEvent> orders;
+  std::set<std::string> targets;
+  for (const std::string& log : logs) {
+    std::istringstream lines(log);
+    size_t order = 0;
+    for (std::string line; std::getline(lines, line);) {
+      boost::system::error_code error;
+      const json::value value = json::parse(line, error);
+      if (error || !value.is_object()) {
+        explanation.unreadable += line.empty() ? 0 : 1;
+        continue;
+      }
+      const json::object& object = value.as_object();
+      LoggedEvent event{Text(object, "time"), Text(object, "instance"),
+                        Text(object, "event"), object, order++};
+      if (IsAbout(object, id)) {
+        if (const std::string target = Text(object, "target");
+            !target.empty()) {
+          targets.insert(target);
+        }
+        explanation.events.push_back(std::move(event));
+      } else if (event.event.starts_with("weights_order")) {
+        orders.push_back(std::move(event));
+      }
+    }
+  }
+  const auto by_time = [](const LoggedEvent& a, const LoggedEvent& b) {
+    return std::tie(a.time, a.instance, a.order) <
+           std::tie(b.time, b.instance, b.order);
+  };
+  std::sort(explanation.events.begin(), explanation.events.end(), by_time);
+  explanation.cause = CauseOf(explanation.events);
+  if (!explanation.events.empty()) {
+    const std::string first = explanation.events.front().time;
+    const std::string last = explanation.events.back().time;
+    for (LoggedEvent& order : orders) {
+      if (IsOrderDuring(order, targets, first, last)) {
+        explanation.events.push_back(std::move(order));
+      }
+    }
+    std::sort(explanation.events.begin(), explanation.events.end(), by_time);
+  }
+  return explanation;
+}
+
+std::string ToText(const Explanation& explanation) {
+  std::string text;
+  for (const LoggedEvent& event : explanation.events) {
+    text += fmt::format("{}  {:<20} {:<22}", event.time, event.instance,
+                        event.event);
+    for (const auto& [name, value] : event.fields) {
+      if (!kCommonMembers.contains(std::string_view(name))) {
+        text += fmt::format(" {}={}", std::string_view(name),
+                            value.is_string() ? std::string(value.as_string())
+                                              : json::serialize(value));
+      }
+    }
+    text += '\n';
+  }
+  if (explanation.unreadable > 0) {
+    text += fmt::format("{} lines could not be read\n", explanation.unreadable);
+  }
+  return text + "cause: " + explanation.cause + "\n";
+}
+
+}  // namespace limpethatch
--- a/src/programs/ctl/main.cc
+++ b/src/programs/ctl/main.cc
@@ -29,6 +29,8 @@
   status        instances, targets, steps, and whether all is well
   history       accepted changes
   burn          error budgets and how fast they burn
+  explain ID    what became of a request, batch job or sample, or of
+                configuration/VERSION, by the logs in --logs DIR
   drain         start a planned stop of the instance called
   completion    print the completion script for bash
 
@@ -57,10 +59,9 @@
 
 const std::map<std::string, Command>& Commands() {
   static const std::map<std::string, Command> commands{
-      {"check", Check},     {"diff", Diff},
-      {"apply", Apply},     {"status", Status},
-      {"history", History}, {"burn", Burn},
-      {"drain", Drain},     {"completion", Completion}};
+      {"check", Check},   {"diff", Diff},         {"apply", Apply},
+      {"status", Status}, {"history", History},   {"burn", Burn},
+      {"drain", Drain},   {"explain", ExplainId}, {"completion", Completion}};
   return commands;
 }
 
@@ -88,6 +89,8 @@
       "accept a change that breaks running steps");
   add("html", options::value(&arguments->options.html)->value_name("FILE"),
       "also write the report as a page");
+  add("logs", options::value(&arguments->options.logs)->value_name("DIR"),
+      "folder with the logs of all processes, for explain");
   add("help", "print this text and end");
   add("version", "print the version and end");
   return description;
@@ -161,7 +164,13 @@
     fmt::print(stderr, "{} needs a FILE\n", command);
     return false;
   }
-  const bool needs_instance = command != "check" && command != "completion";
+  if (command == "explain" &&
+      (arguments.file.empty() || arguments.options.logs.empty())) {
+    fmt::print(stderr, "explain needs an ID and --logs DIR\n");
+    return false;
+  }
+  const bool needs_instance =
+      command != "check" && command != "explain" && command != "completion";
   if (needs_instance && arguments.options.access.instances.empty()) {
     fmt::print(stderr, "{} needs --at IP:PORT or {}\n", command,
                kAddressVariable);
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -50,16 +50,15 @@
                  {.translation = settings.process.address_translation},
                  [this](std::string_view message) { Receive(message); }),
       control_(io_, messenger_, ClientOptions(settings)),
-      follower_(timers_,
-                messenger_,
-                settings_,
-                {[this](const Endpoint& control) {
-                  control_.AddReplica(control);
-                }}),
-      client_(io_,
-              HttpClientOptions{
-                  .translation = settings.process.address_translation,
-                  .max_idle_time = kTargetIdleTime}),
+      follower_(
+          timers_,
+          messenger_,
+          settings_,
+          {[this](const Endpoint& control) { control_.AddReplica(control); }}),
+      client_(
+          io_,
+          HttpClientOptions{.translation = settings.process.address_translation,
+                            .max_idle_time = kTargetIdleTime}),
       callers_(io_,
                HttpServerLimits{},
                [this](HttpExchange& exchange) {
@@ -76,8 +75,7 @@
           [this](HttpExchange& exchange) { ServeMetrics(exchange); }),
       router_(RouterOptions{.zone = settings.process.zone}),
       random_(std::random_device()()),
-      live_{io_,     client_, follower_.targets(),
-            router_, random_, metrics_},
+      live_{io_, client_, follower_.targets(), router_, random_, metrics_},
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       watch_(timers_, settings_path_, [this] { Reload(); }) {}
 
@@ -188,8 +186,7 @@
   request.mutable_command()->mutable_job_end()->set_job(job);
   const ControlClient::Answer answer =
       control_.Ask(yield, std::move(request), Clock::now() + kJobCallTime);
-  *known =
-      answer.reply.result().job().verdict() != wire::JobOutcome::UNKNOWN;
+  *known = answer.reply.result().job().verdict() != wire::JobOutcome::UNKNOWN;
   Log(LogLevel::kInfo, "job_ended",
       {{"job", job},
        {"done", answer.certainty == ControlCertainty::kDone},
@@ -231,17 +228,18 @@
 }
 
 void Gateway::WaitForSignal() {
-  signals_.async_wait([this](const boost::system::error_code& error, int which) {
-    if (error) {
-      return;
-    }
-    if (which == SIGHUP) {
-      Reload();
-    } else {
-      Stop();
-    }
-    WaitForSignal();
-  });
+  signals_.async_wait(
+      [this](const boost::system::error_code& error, int which) {
+        if (error) {
+          return;
+        }
+        if (which == SIGHUP) {
+          Reload();
+        } else {
+          Stop();
+        }
+        WaitForSignal();
+      });
 }
 
 void Gateway::Reload() {
--- a/src/programs/gateway/gateway_metrics.cc
+++ b/src/programs/gateway/gateway_metrics.cc
@@ -68,10 +68,10 @@
     uint64_t below = 0;
     for (size_t i = 0; i < LatencyHistogram::kBounds.size(); ++i) {
       below += histogram.counts.at(i);
-      text.Sample({{"route", route},
-                   {"le", std::to_string(
-                              Seconds(LatencyHistogram::kBounds.at(i)))}},
-                  static_cast<double>(below), "_bucket");
+      text.Sample(
+          {{"route", route},
+           {"le", std::to_string(Seconds(LatencyHistogram::kBounds.at(i)))}},
+          static_cast<double>(below), "_bucket");
     }
     text.Sample({{"route", route}, {"le", "+Inf"}},
                 static_cast<double>(histogram.total), "_bucket");
--- a/src/programs/gateway/live_call.cc
+++ b/src/programs/gateway/live_call.cc
@@ -285,9 +285,9 @@
          {"ran", not_run ? "not_run" : "may_have_run"},
          {"attempts", shared_->attempts.size()},
          {"targets", context_.targets.targets().size()},
-         {"after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                          now - began_at_)
-                          .count()}});
+         {"after_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(now - began_at_)
+              .count()}});
     if (failure) {
       exchange_.Respond(failure->response);
       context_.metrics.Answered(route_.name(), failure->response.status,
--- /dev/null
+++ b/tests/gateway/gateway_test.cc
@@ -0,0 +1,317 @@
+#include "programs/gateway/gateway.h"
+
+#include <unistd.h>
+
+#include <atomic>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <csignal>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "connection/free_endpoint.h"
+#include "envelope.pb.h"
+
+#include <criterion/criterion.h>
+
+namespace limpethatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kId = "9c41d07be2a35f68";
+
+// Sends raw bytes on a new connection and reads until the other side closes,
+// or answers and then sends nothing for a while.
+std::string Exchange(const Endpoint& to, const std::string& bytes) {
+  using boost::asio::ip::tcp;
+  boost::asio::io_context io;
+  tcp::socket socket(io);
+  boost::system::error_code error;
+  socket.connect({boost::asio::ip::make_address_v4(to.host), to.port}, error);
+  if (error) {
+    return "";
+  }
+  boost::asio::write(socket, boost::asio::buffer(bytes), error);
+  std::string answer(64UL * 1024, '\0');
+  const size_t size = socket.read_some(boost::asio::buffer(answer), error);
+  answer.resize(error ? 0 : size);
+  return answer;
+}
+
+std::string Post(const std::string& path, const std::string& extra = "") {
+  return "POST " + path + " HTTP/1.1\r\nHost: shop.example\r\n" +
+         "Request-Attempt-Id: " + kId + "\r\nDeadline-Ms: 2000\r\n" + extra +
+         "Content-Length: 4\r\n\r\nbody";
+}
+
+std::string StatusOf(const std::string& answer) {
+  return answer.size() < 12 ? "" : answer.substr(9, 3);
+}
+
+// A control instance that tells one configuration and its targets.
+class FakeControl {
+ public:
+  explicit FakeControl(const Endpoint& endpoint)
+      : endpoint_(endpoint), messenger_({}, [this](std::string_view bytes) {
+          wire::Envelope envelope;
+          if (envelope.ParseFromArray(bytes.data(),
+                                      static_cast<int>(bytes.size())) &&
+              envelope.has_watch()) {
+            Answer(envelope.watch());
+          }
+        }) {}
+
+  void Start() { cr_assert(!messenger_.Listen(endpoint_)); }
+  void AddTarget(const std::string& id, const Endpoint& address) {
+    wire::TargetRecord& target = *news_.add_targets();
+    target.set_id(id);
+    target.set_service("desk");
+    target.set_address(address.ToString());
+    target.set_zone("z");
+    target.set_slots(6);
+    target.set_born_ms(1);
+  }
+  std::atomic<bool> in_touch{true};
+
+ private:
+  void Answer(const wire::Watch& watch) {
+    wire::Envelope envelope;
+    wire::FleetNews& news = *envelope.mutable_fleet_news();
+    news = news_;
+    news.set_from(endpoint_.ToString());
+    news.set_quorum_contact(in_touch);
+    news.set_epoch(1);
+    news.set_revision(7);
+    wire::FleetConfiguration& configuration = *news.mutable_configuration();
+    configuration.set_version(3);
+    configuration.add_services()->set_name("desk");
+    wire::Route& route = *configuration.add_routes();
+    route.set_name("lookup");
+    route.set_host("shop.example");
+    route.set_path_prefix("/l/");
+    route.set_kind(wire::ROUTE_IDEMPOTENT);
+    route.set_max_attempts(2);
+    route.set_timeout_ms(1500);
+    wire::WeightedService& part = *route.add_services();
+    part.set_service("desk");
+    part.set_weight(1);
+    configuration.mutable_limits()->set_max_header_bytes(2048);
+    configuration.mutable_limits()->set_max_body_bytes(100);
+    Endpoint to;
+    ParseEndpoint(watch.reply_to(), &to);
+    messenger_.Send(to, envelope.SerializeAsString());
+  }
+
+  const Endpoint endpoint_;
+  wire::FleetNews news_;
+  Messenger messenger_;
+};
+
+// A target on a thread of its own.
+class FakeTarget {
+ public:
+  using Handler = std::function<HttpResponse(const HttpRequest&)>;
+
+  explicit FakeTarget(Handler handler)
+      : endpoint_(FreeEndpoint()),
+        handler_(std::move(handler)),
+        server_(io_, HttpServerLimits{}, [this](HttpExchange& exchange) {
+          ++calls;
+          exchange.Respond(handler_(exchange.request()));
+        }) {
+    cr_assert(!server_.Listen(endpoint_));
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  ~FakeTarget() {
+    io_.stop();
+    thread_.join();
+  }
+
+  const Endpoint& endpoint() const { return endpoint_; }
+  std::atomic<int> calls{0};
+
+ private:
+  boost::asio::io_context io_;
+  const Endpoint endpoint_;
+  const Handler handler_;
+  HttpServer server_;
+  std::thread thread_;
+};
+
+HttpResponse Signed(const HttpRequest& request, const std::string& id) {
+  HttpResponse response;
+  response.headers.Set("Request-Attempt-Id", id);
+  response.headers.Set("Server-Stamp", "stamp");
+  response.body = "for " + std::string(request.headers.Get("Expect-Instance")) +
+                  " " + request.body;
+  return response;
+}
+
+// A gateway on a thread of its own, and the control instance it follows.
+class Running {
+ public:
+  Running() {
+    settings.process.id = "gateway";
+    settings.process.zone = "z";
+    settings.callers = FreeEndpoint();
+    settings.readiness = FreeEndpoint();
+    settings.peers = FreeEndpoint();
+    settings.metrics = FreeEndpoint();
+    // Control listens at the same port on another address of loopback.
+    settings.seeds = {{"127.0.0.2", 1}};
+    settings.accept_time = milliseconds(100);
+    settings.stop_time = seconds(2);
+    control = std::make_unique<FakeControl>(
+        Endpoint{"127.0.0.2", settings.peers.port});
+  }
+  ~Running() {
+    if (thread_.joinable()) {
+      raise(SIGTERM);
+      thread_.join();
+    }
+  }
+
+  void Start() {
+    gateway_ = std::make_unique<Gateway>(settings, "none");
+    cr_assert(!gateway_->Start());
+    thread_ = std::thread([this] { gateway_->Run(); });
+  }
+  bool Ready() const {
+    const std::string answer = Exchange(
+        settings.readiness, "GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n");
+    return StatusOf(answer) == "200";
+  }
+  bool WaitUntilReady(bool ready) const {
+    for (int i = 0; i < 500 && Ready() != ready; ++i) {
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    return Ready() == ready;
+  }
+  std::string Call(const std::string& bytes) const {
+    return Exchange(settings.callers, bytes);
+  }
+
+  GatewaySettings settings;
+  std::unique_ptr<FakeControl> control;
+
+ private:
+  std::unique_ptr<Gateway> gateway_;
+  std::thread thread_;
+};
+
+}  // namespace
+
+Test(gateway, without_a_configuration_it_is_not_ready_and_promises_nothing_ran) {
+  Running running;
+  running.Start();
+  cr_assert(!running.Ready());
+  const std::string answer = running.Call(Post("/l/x"));
+  cr_assert(StatusOf(answer) == "503", "%s", answer.c_str());
+  cr_assert(answer.find("Retry-After") != std::string::npos);
+}
+
+Test(gateway, a_request_reaches_its_target_and_the_answer_comes_back_unchanged) {
+  FakeTarget target(
+      [](const HttpRequest& request) { return Signed(request, kId); });
+  Running running;
+  running.control->AddTarget("i-1", target.endpoint());
+  running.control->Start();
+  running.Start();
+  cr_assert(running.WaitUntilReady(true));
+  const std::string answer = running.Call(Post("/l/x"));
+  cr_assert(StatusOf(answer) == "200", "%s", answer.c_str());
+  cr_assert(answer.find("Server-Stamp: stamp") != std::string::npos);
+  cr_assert(answer.find("for i-1 body") != std::string::npos);
+  cr_assert(StatusOf(running.Call(Post("/other/x"))) == "404");
+}
+
+Test(gateway, an_answer_of_another_request_never_reaches_the_caller) {
+  FakeTarget liar(
+      [](const HttpRequest& request) { return Signed(request, "another"); });
+  FakeTarget honest(
+      [](const HttpRequest& request) { return Signed(request, kId); });
+  Running running;
+  running.control->AddTarget("i-1", liar.endpoint());
+  running.control->AddTarget("i-2", honest.endpoint());
+  running.control->Start();
+  running.Start();
+  cr_assert(running.WaitUntilReady(true));
+  for (int i = 0; i < 10; ++i) {
+    const std::string answer = running.Call(Post("/l/x"));
+    cr_assert(answer.find("for i-2 body") != std::string::npos, "%s",
+              answer.c_str());
+  }
+}
+
+Test(gateway, a_target_that_refuses_is_no_failure_of_the_request) {
+  FakeTarget full([](const HttpRequest&) {
+    HttpResponse response;
+    response.status = 503;
+    response.headers.Set("Not-Run", "1");
+    return response;
+  });
+  Running running;
+  running.control->AddTarget("i-1", full.endpoint());
+  running.control->Start();
+  running.Start();
+  cr_assert(running.WaitUntilReady(true));
+  const std::string answer = running.Call(Post("/l/x"));
+  cr_assert(StatusOf(answer) == "503");
+  cr_assert(answer.find("Retry-After") != std::string::npos);
+  cr_assert(answer.find("targets_full") != std::string::npos);
+}
+
+Test(gateway, wrong_input_gets_a_clear_answer_and_harms_nobody) {
+  FakeTarget target(
+      [](const HttpRequest& request) { return Signed(request, kId); });
+  Running running;
+  running.control->AddTarget("i-1", target.endpoint());
+  running.control->Start();
+  running.Start();
+  cr_assert(running.WaitUntilReady(true));
+  const std::string large_header =
+      Post("/l/x", "X-Long: " + std::string(5000, 'x') + "\r\n");
+  cr_assert(StatusOf(running.Call(large_header)) == "431");
+  const std::string large_body =
+      "POST /l/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 101\r\n\r\n" +
+      std::string(101, 'x');
+  cr_assert(StatusOf(running.Call(large_body)) == "413");
+  const std::string two_lengths =
+      "POST /l/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 4\r\n"
+      "Content-Length: 5\r\n\r\nbody";
+  cr_assert(StatusOf(running.Call(two_lengths)) == "400");
+  const std::string length_and_chunks =
+      "POST /l/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 4\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+  cr_assert(StatusOf(running.Call(length_and_chunks)) == "400");
+  cr_assert(StatusOf(running.Call("\x16\x03\x01\x02\x00 nonsense\r\n\r\n")) ==
+            "400");
+  cr_assert(target.calls == 0);
+  cr_assert(StatusOf(running.Call(Post("/l/x"))) == "200");
+}
+
+Test(gateway, cut_off_from_a_quorum_it_asks_for_no_new_callers) {
+  FakeTarget target(
+      [](const HttpRequest& request) { return Signed(request, kId); });
+  Running running;
+  running.control->AddTarget("i-1", target.endpoint());
+  running.control->Start();
+  running.Start();
+  cr_assert(running.WaitUntilReady(true));
+  running.control->in_touch = false;
+  cr_assert(running.WaitUntilReady(false));
+  cr_assert(StatusOf(running.Call(Post("/l/x"))) == "200",
+            "those that come are served all the same");
+  running.control->in_touch = true;
+  cr_assert(running.WaitUntilReady(true));
+}
+
+}  // namespace limpethatch
--- a/tests/process/member_planner_test.cc
+++ b/tests/process/member_planner_test.cc
@@ -47,11 +47,11 @@
   cr_assert(!PlanMembers(replicas, 3), "the new one does not vote yet");
   replicas[3].votes = true;
   const auto removed = PlanMembers(replicas, 3);
-  cr_assert(removed->kind == MemberChange::Kind::kRemove &&
-            removed->id == "b");
+  cr_assert(removed->kind == MemberChange::Kind::kRemove && removed->id == "b");
 }
 
-Test(member_planner, an_instance_to_be_emptied_leaves_after_its_successor_votes) {
+Test(member_planner,
+     an_instance_to_be_emptied_leaves_after_its_successor_votes) {
   std::vector<KnownReplica> replicas = Three();
   replicas.push_back(ReplicaOf("d", "z1", false));
   replicas[0].retired = true;
--- a/tests/request/live_attempts_test.cc
+++ b/tests/request/live_attempts_test.cc
@@ -34,9 +34,9 @@
   cr_assert(wait.until == kStart + milliseconds(75));
   cr_assert(attempts.Next(true, wait.until).kind == Kind::kSend);
   attempts.Sent(wait.until);
-  cr_assert(attempts.Next(true, wait.until + milliseconds(200)).kind ==
-                Kind::kWait,
-            "no more targets than the route allows");
+  cr_assert(
+      attempts.Next(true, wait.until + milliseconds(200)).kind == Kind::kWait,
+      "no more targets than the route allows");
 }
 
 Test(live_attempts, a_refusal_does_not_use_up_an_attempt) {
--- a/tests/version/job_ledger_test.cc
+++ b/tests/version/job_ledger_test.cc
@@ -166,11 +166,10 @@
         case 1:
         case 2:
         case 3:
-          ledger.Apply(AdvanceOf(job, sample, choice / 12 % 3,
-                                 {std::to_string(choice)},
-                                 {uint64_t{1} + choice % 4},
-                                 kind % 2 == 0 ? wire::SAMPLE_OPEN
-                                               : wire::SAMPLE_COMPLETED));
+          ledger.Apply(AdvanceOf(
+              job, sample, choice / 12 % 3, {std::to_string(choice)},
+              {uint64_t{1} + choice % 4},
+              kind % 2 == 0 ? wire::SAMPLE_OPEN : wire::SAMPLE_COMPLETED));
           break;
         case 4: {
           wire::JobEnd end;
@@ -189,8 +188,7 @@
         std::map<std::string, int> ids;
         for (int i = 0; i < page.results_size(); ++i) {
           const std::string line = page.results(i).SerializeAsString();
-          const auto [found, added] =
-              read.emplace(std::pair(id, i), line);
+          const auto [found, added] = read.emplace(std::pair(id, i), line);
           RC_ASSERT(found->second == line);
           RC_ASSERT(++ids[page.results(i).id()] == 1);
           for (const uint64_t version : page.results(i).versions()) {
--- a/tests/version/sample_scheduler_test.cc
+++ b/tests/version/sample_scheduler_test.cc
@@ -100,8 +100,8 @@
     ++by_engine[start.engine];
   }
   cr_assert(by_engine["engine0"] == 3 && by_engine["engine1"] == 3);
-  cr_assert(
-      deployment.scheduler.Plan(deployment.jobs, deployment.now).starts.empty());
+  cr_assert(deployment.scheduler.Plan(deployment.jobs, deployment.now)
+                .starts.empty());
 }
 
 // The load: a step of which the trainer waits for two of three groups.
@@ -114,7 +114,8 @@
   cr_assert(!starts.contains(0) && !starts.contains(1));
 }
 
-Test(sample_scheduler, of_the_groups_that_count_the_longest_sample_starts_first) {
+Test(sample_scheduler,
+     of_the_groups_that_count_the_longest_sample_starts_first) {
   Deployment deployment(1, 1);
   deployment.Submit("job", {{10, 20}, {40, 8}}, 2);
   const SamplePlan plan =
@@ -214,16 +215,17 @@
   cr_assert(again.at(0) != starts.at(0));
 }
 
-Test(sample_scheduler, a_finished_sample_is_not_started_again_before_it_is_listed) {
+Test(sample_scheduler,
+     a_finished_sample_is_not_started_again_before_it_is_listed) {
   Deployment deployment(1);
   deployment.Submit("job", {{5}, {5}});
   deployment.scheduler.Plan(deployment.jobs, deployment.now);
   deployment.scheduler.Ended({"job", 0}, RunEnd::kDone, deployment.now);
-  cr_assert(
-      deployment.scheduler.Plan(deployment.jobs, deployment.now).starts.empty());
+  cr_assert(deployment.scheduler.Plan(deployment.jobs, deployment.now)
+                .starts.empty());
   deployment.List("job", 0);
-  cr_assert(
-      deployment.scheduler.Plan(deployment.jobs, deployment.now).starts.empty());
+  cr_assert(deployment.scheduler.Plan(deployment.jobs, deployment.now)
+                .starts.empty());
   cr_assert(deployment.scheduler.running() == 1);
 }
 
--- a/tests/version/weight_rollout_test.cc
+++ b/tests/version/weight_rollout_test.cc
@@ -126,8 +126,8 @@
   fleet.Run(milliseconds(100));
   fleet.newest["model0"] = 3;
   for (const WeightLoad& load :
-       (fleet.now += kLoadTime, fleet.rollout.Plan(fleet.newest, fleet.board,
-                                                   fleet.now))) {
+       (fleet.now += kLoadTime,
+        fleet.rollout.Plan(fleet.newest, fleet.board, fleet.now))) {
     cr_assert(load.version == 3);
   }
 }
