--- a/src/limpethatch/process/consensus.cc
+++ b/src/limpethatch/process/consensus.cc
@@ -100,6 +100,10 @@
 
 void Consensus::Persisted(uint64_t sequence, TimePoint) {
   persisted_sequence_ = std::max(persisted_sequence_, sequence);
+  if (snapshot_sequence_ != 0 && sequence >= snapshot_sequence_) {
+    snapshot_sequence_ = 0;
+    log_.DropSnapshotState();
+  }
   const uint64_t before = durable_;
   while (!in_flight_.empty() && in_flight_.front().sequence <= sequence) {
     durable_ = std::max(durable_, in_flight_.front().last_index);
@@ -119,6 +123,24 @@
   if (compacting() || index <= log_.snapshot_index() || index > applied_) {
     return;
   }
+  snapshot_to_install_ = SnapshotOf(index, std::move(state));
+}
+
+void Consensus::ProvideState(uint64_t index, std::string state) {
+  state_wanted_ = false;
+  if (!leading() || index != applied_ || index < log_.snapshot_index()) {
+    return;
+  }
+  snapshot_to_send_ = SnapshotOf(index, std::move(state));
+  for (auto& [id, peer] : progress_) {
+    peer.snapshot_offset = 0;
+    peer.snapshot_sent = false;
+  }
+}
+
+std::shared_ptr<wire::SnapshotRecord> Consensus::SnapshotOf(
+    uint64_t index,
+    std::string state) const {
   auto snapshot = std::make_shared<wire::SnapshotRecord>();
   snapshot->set_index(index);
   snapshot->set_term(*log_.TermAt(index));
@@ -132,7 +154,7 @@
     *snapshot->mutable_members() = log_.snapshot()->members();
   }
   snapshot->set_state(std::move(state));
-  snapshot_to_install_ = std::move(snapshot);
+  return snapshot;
 }
 
 void Consensus::InstallOwnSnapshot(TimePoint now) {
@@ -176,6 +198,10 @@
     outbox_.clear();
   }
   TakeApplies(&actions);
+  // Behind all that it is to contain.
+  if (state_wanted_ && leading()) {
+    actions.push_back(NeedStateAction{});
+  }
   return actions;
 }
 
@@ -195,6 +221,7 @@
   persist.hard_state = hard_state_;
   if (snapshot_to_persist_) {
     persist.snapshot = std::exchange(snapshot_to_persist_, nullptr);
+    snapshot_sequence_ = persist.sequence;
     persist_from_ = log_.snapshot_index() + 1;
   }
   persist.entries = log_.Range(persist_from_, log_.last_index());
@@ -208,6 +235,9 @@
     applied_ = snapshot_to_restore_->index();
     actions->push_back(
         RestoreAction{std::exchange(snapshot_to_restore_, nullptr)});
+    if (snapshot_sequence_ == 0) {
+      log_.DropSnapshotState();  // It was read from the disk.
+    }
   }
   const uint64_t until = leading() ? commit_ : std::min(commit_, durable_);
   while (applied_ < until) {
--- a/src/limpethatch/process/consensus.h
+++ b/src/limpethatch/process/consensus.h
@@ -75,6 +75,9 @@
   // The state machine's state after `index`, which must have been applied.
   // Peers that follow closely are waited for before the log is cut.
   void Compact(uint64_t index, std::string state);
+  // Answers a NeedStateAction with the state after `index`, the last that was
+  // applied.
+  void ProvideState(uint64_t index, std::string state);
   // A state handed to Compact is not in place yet; another would be ignored.
   bool compacting() const { return snapshot_to_install_ != nullptr; }
 
@@ -151,6 +154,8 @@
   void AppendOwn(wire::LogEntry entry);
   void SendAppend(const std::string& to, TimePoint now);
   void SendSnapshotChunk(const std::string& to, TimePoint now);
+  std::shared_ptr<wire::SnapshotRecord> SnapshotOf(uint64_t index,
+                                                   std::string state) const;
   void OnAppend(const wire::ConsensusMessage& message, TimePoint now);
   void TakeEntries(const wire::Append& append);
   void OnAppendReply(const wire::ConsensusMessage& message, TimePoint now);
@@ -226,6 +231,10 @@
   uint64_t hard_state_sequence_ = 0;
   uint64_t persisted_sequence_ = 0;
   SharedSnapshot snapshot_to_install_;
+  // Sent to peers that are too far behind for entries; held only meanwhile.
+  SharedSnapshot snapshot_to_send_;
+  bool state_wanted_ = false;       // A NeedStateAction is due or unanswered.
+  uint64_t snapshot_sequence_ = 0;  // Of its persisting; 0: none under way.
   SharedSnapshot snapshot_to_persist_;
   SharedSnapshot snapshot_to_restore_;
   std::deque<PersistInFlight> in_flight_;
--- a/src/limpethatch/process/consensus_election.cc
+++ b/src/limpethatch/process/consensus_election.cc
@@ -28,6 +28,8 @@
   leader_ = options_.id;
   leading_since_ = now;
   progress_.clear();
+  snapshot_to_send_.reset();
+  state_wanted_ = false;
   for (const std::string& peer : Peers()) {
     progress_[peer].next = log_.last_index() + 1;
   }
--- a/src/limpethatch/process/consensus_replication.cc
+++ b/src/limpethatch/process/consensus_replication.cc
@@ -34,9 +34,15 @@
     OfferLeadership();
   }
   KeepMembersWorking(now);
-  for (const std::string& peer : Peers()) {
-    progress_[peer].snapshot_sent = false;
-    SendAppend(peer, now);
+  bool state_needed = false;
+  for (const std::string& id : Peers()) {
+    Progress& peer = progress_[id];
+    peer.snapshot_sent = false;
+    state_needed = state_needed || !log_.TermAt(peer.next - 1);
+    SendAppend(id, now);
+  }
+  if (!state_needed) {
+    snapshot_to_send_.reset();
   }
 }
 
@@ -65,8 +71,13 @@
 }
 
 void Consensus::SendSnapshotChunk(const std::string& to, TimePoint now) {
+  if (!snapshot_to_send_ ||
+      snapshot_to_send_->index() < log_.snapshot_index()) {
+    state_wanted_ = true;
+    return;
+  }
   Progress& peer = progress_[to];
-  const wire::SnapshotRecord& snapshot = *log_.snapshot();
+  const wire::SnapshotRecord& snapshot = *snapshot_to_send_;
   wire::ConsensusMessage message = NewMessage();
   wire::SnapshotChunk& chunk = *message.mutable_snapshot_chunk();
   chunk.set_index(snapshot.index());
@@ -256,18 +267,18 @@
 void Consensus::OnSnapshotReply(const wire::ConsensusMessage& message,
                                 TimePoint now) {
   Progress* peer = ProgressOf(message);
-  if (!peer || !log_.snapshot()) {
+  if (!peer || !snapshot_to_send_) {
     return;
   }
   const wire::SnapshotReply& reply = message.snapshot_reply();
   peer->lease_from =
       std::max(peer->lease_from, TimePoint(Duration(reply.sent_at())));
-  if (reply.index() != log_.snapshot_index()) {
+  if (reply.index() != snapshot_to_send_->index()) {
     return;
   }
   peer->snapshot_offset = reply.next_offset();
   peer->snapshot_sent = false;
-  if (reply.next_offset() >= log_.snapshot()->state().size()) {
+  if (reply.next_offset() >= snapshot_to_send_->state().size()) {
     peer->next = std::max(peer->next, reply.index() + 1);
   } else {
     SendSnapshotChunk(message.from(), now);
--- a/src/limpethatch/process/consensus_types.h
+++ b/src/limpethatch/process/consensus_types.h
@@ -76,6 +76,9 @@
   uint64_t term = 0;
 };
 
+// A peer needs the whole state: hand the present one to ProvideState.
+struct NeedStateAction {};
+
 // The members' endpoints may have changed.
 struct MembersAction {
   wire::Members members;
@@ -86,7 +89,8 @@
                                      ApplyAction,
                                      RestoreAction,
                                      LeadershipAction,
-                                     MembersAction>;
+                                     MembersAction,
+                                     NeedStateAction>;
 
 }  // namespace limpethatch
 
--- a/src/limpethatch/process/durable_log.h
+++ b/src/limpethatch/process/durable_log.h
@@ -1,8 +1,8 @@
 // The consensus state on disk: a log file and a snapshot file.
 //
 // The log file holds a header with the format, the hard state and the entries
-// behind the snapshot; it is written anew at each start and after each
-// snapshot, so that neither its size nor the time to start grows with history.
+// behind the snapshot; it is written anew after each snapshot, so that neither
+// its size nor the time to start grows with history.
 // A torn tail is cut. A damaged last frame is cut as well, and the disk takes
 // a new identity, as it may have forgotten what was acknowledged. Damage
 // before that, or in the snapshot, sets both files aside: the replica starts
@@ -69,10 +69,7 @@
     }
     hard_state.set_boot(hard_state.boot() + 1);
     hard_state.set_session(session);
-    const uint64_t base =
-        found.state.snapshot ? found.state.snapshot->index() : 0;
-    if (std::error_code error =
-            ReplaceLog(hard_state, base, found.state.entries)) {
+    if (std::error_code error = CountStart(found)) {
       return error;
     }
     failed_ = false;
@@ -144,6 +141,19 @@
     return LogRecovery{.existed = true, .end = LogEnd::kCorrupt};
   }
 
+  // Writes the hard state of this start. A log that was found whole goes on;
+  // any other one, and one that was put back or joined, is written anew.
+  std::error_code CountStart(const LogRecovery& found) {
+    if (found.existed && found.end == LogEnd::kClean) {
+      std::vector<wire::LogRecord> records(1);
+      *records[0].mutable_hard_state() = found.state.hard_state;
+      return AppendRecords(records);
+    }
+    const uint64_t base =
+        found.state.snapshot ? found.state.snapshot->index() : 0;
+    return ReplaceLog(found.state.hard_state, base, found.state.entries);
+  }
+
   std::error_code ReplaceLog(const wire::HardState& hard_state,
                              uint64_t snapshot_index,
                              std::span<const wire::LogEntry> entries) {
@@ -152,10 +162,8 @@
   }
 
   std::error_code WriteSnapshot(const PersistAction& persist) {
-    wire::LogRecord record;
-    *record.mutable_snapshot() = *persist.snapshot;
-    if (std::error_code error =
-            disk_.Replace(kSnapshotFile, EncodeFrame({record}))) {
+    if (std::error_code error = disk_.Replace(
+            kSnapshotFile, EncodeSnapshotFrame(*persist.snapshot))) {
       return error;
     }
     return ReplaceLog(persist.hard_state, persist.snapshot->index(),
--- a/src/limpethatch/process/log_record.cc
+++ b/src/limpethatch/process/log_record.cc
@@ -50,6 +50,17 @@
   return value;
 }
 
+// Fills in the header of a frame whose body stands behind it.
+void FillHeader(std::string* frame) {
+  const std::string_view body = std::string_view(*frame).substr(kHeaderBytes);
+  std::string header;
+  Put(&header, kMagic);
+  Put(&header, static_cast<uint32_t>(body.size()));
+  Put(&header, XXH3_64bits(header.data(), kPrefixBytes));
+  Put(&header, XXH3_64bits(body.data(), body.size()));
+  frame->replace(0, kHeaderBytes, header);
+}
+
 // The body's length if a whole and undamaged header stands at the start.
 std::optional<size_t> ReadHeader(std::string_view bytes) {
   if (bytes.size() < kHeaderBytes || Get<uint32_t>(bytes) != kMagic ||
@@ -122,21 +133,33 @@
 }
 
 std::string EncodeFrame(const std::vector<wire::LogRecord>& records) {
-  std::string body;
+  std::string frame(kHeaderBytes, '\0');
   {
-    google::protobuf::io::StringOutputStream stream(&body);
+    google::protobuf::io::StringOutputStream stream(&frame);
     for (const wire::LogRecord& record : records) {
       google::protobuf::util::SerializeDelimitedToZeroCopyStream(record,
                                                                  &stream);
     }
   }
-  std::string frame;
-  frame.reserve(kHeaderBytes + body.size());
-  Put(&frame, kMagic);
-  Put(&frame, static_cast<uint32_t>(body.size()));
-  Put(&frame, XXH3_64bits(frame.data(), kPrefixBytes));
-  Put(&frame, XXH3_64bits(body.data(), body.size()));
-  return frame + body;
+  FillHeader(&frame);
+  return frame;
+}
+
+std::string EncodeSnapshotFrame(const wire::SnapshotRecord& snapshot) {
+  // Lends the snapshot, which can be large, to a record instead of copying it.
+  wire::LogRecord record;
+  record.unsafe_arena_set_allocated_snapshot(
+      const_cast<wire::SnapshotRecord*>(&snapshot));
+  std::string frame(kHeaderBytes, '\0');
+  frame.reserve(kHeaderBytes + kPrefixBytes + record.ByteSizeLong() +
+                kPrefixBytes);
+  {
+    google::protobuf::io::StringOutputStream stream(&frame);
+    google::protobuf::util::SerializeDelimitedToZeroCopyStream(record, &stream);
+  }
+  record.unsafe_arena_release_snapshot();
+  FillHeader(&frame);
+  return frame;
 }
 
 LogContents DecodeFrames(std::string_view bytes) {
--- a/src/limpethatch/process/log_record.h
+++ b/src/limpethatch/process/log_record.h
@@ -45,6 +45,8 @@
 
 // One frame that holds `records`.
 std::string EncodeFrame(const std::vector<wire::LogRecord>& records);
+// As above, of one record that holds the snapshot.
+std::string EncodeSnapshotFrame(const wire::SnapshotRecord& snapshot);
 
 // Reads all frames up to the first that is not whole.
 LogContents DecodeFrames(std::string_view bytes);
--- a/src/limpethatch/process/replicated_log.cc
+++ b/src/limpethatch/process/replicated_log.cc
@@ -46,23 +46,44 @@
   if (entry.has_members()) {
     members_[entry.index()] = entry.members();
   }
+  command_bytes_ += entry.command().size();
   entries_.push_back(std::move(entry));
 }
 
 void ReplicatedLog::TruncateFrom(uint64_t index) {
   members_.erase(members_.lower_bound(index), members_.end());
   const uint64_t kept = std::max(index, snapshot_index() + 1);
-  entries_.resize(
-      std::min<size_t>(entries_.size(), kept - snapshot_index() - 1));
+  const size_t left =
+      std::min<size_t>(entries_.size(), kept - snapshot_index() - 1);
+  while (entries_.size() > left) {
+    command_bytes_ -= entries_.back().command().size();
+    entries_.pop_back();
+  }
+}
+
+void ReplicatedLog::DropSnapshotState() {
+  if (!snapshot_ || snapshot_->state().empty()) {
+    return;
+  }
+  auto light = std::make_shared<wire::SnapshotRecord>();
+  light->set_index(snapshot_->index());
+  light->set_term(snapshot_->term());
+  if (snapshot_->has_members()) {
+    *light->mutable_members() = snapshot_->members();
+  }
+  snapshot_ = std::move(light);
 }
 
 void ReplicatedLog::Install(SharedSnapshot snapshot) {
   if (TermAt(snapshot->index()) == snapshot->term()) {
-    const uint64_t covered = snapshot->index() - snapshot_index();
-    entries_.erase(entries_.begin(),
-                   entries_.begin() + static_cast<std::ptrdiff_t>(covered));
+    for (uint64_t covered = snapshot->index() - snapshot_index(); covered > 0;
+         --covered) {
+      command_bytes_ -= entries_.front().command().size();
+      entries_.pop_front();
+    }
   } else {
     entries_.clear();
+    command_bytes_ = 0;
     members_.clear();
   }
   members_.erase(members_.begin(), members_.upper_bound(snapshot->index()));
--- a/src/limpethatch/process/replicated_log.h
+++ b/src/limpethatch/process/replicated_log.h
@@ -37,6 +37,10 @@
   void TruncateFrom(uint64_t index);
   // Drops all entries that the snapshot covers, and all that contradict it.
   void Install(SharedSnapshot snapshot);
+  // Keeps only what the snapshot is, not its state, which is on the disk.
+  void DropSnapshotState();
+  // Size of the commands in memory.
+  size_t command_bytes() const { return command_bytes_; }
 
   // The latest members in entries or snapshot; null if there are none.
   const wire::Members* members() const;
@@ -46,6 +50,7 @@
  private:
   SharedSnapshot snapshot_;
   std::deque<wire::LogEntry> entries_;
+  size_t command_bytes_ = 0;
   std::map<uint64_t, wire::Members> members_;
 };
 
--- a/src/limpethatch/request/ledgers.cc
+++ b/src/limpethatch/request/ledgers.cc
@@ -126,8 +126,15 @@
   for (const std::string& holder : gone_.holders()) {
     snapshot.add_gone(holder);
   }
-  *snapshot.mutable_fleet() = fleet_.Snapshot();
-  return snapshot.SerializeAsString();
+  std::string bytes = snapshot.SerializeAsString();
+  // Messages that stand one after the other are read as one: so that the state
+  // is never held twice as a whole.
+  fleet_.ForEachPart([&bytes](wire::FleetSnapshot part) {
+    wire::LedgersSnapshot piece;
+    *piece.mutable_fleet() = std::move(part);
+    piece.AppendToString(&bytes);
+  });
+  return bytes;
 }
 
 bool Ledgers::Restore(std::string_view bytes) {
--- a/src/limpethatch/version/fleet_ledger.cc
+++ b/src/limpethatch/version/fleet_ledger.cc
@@ -1,6 +1,7 @@
 #include "limpethatch/version/fleet_ledger.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace limpethatch {
 
@@ -55,6 +56,15 @@
 
 wire::FleetSnapshot FleetLedger::Snapshot() const {
   wire::FleetSnapshot snapshot;
+  ForEachPart([&snapshot](const wire::FleetSnapshot& part) {
+    snapshot.MergeFrom(part);
+  });
+  return snapshot;
+}
+
+void FleetLedger::ForEachPart(
+    const std::function<void(wire::FleetSnapshot part)>& visit) const {
+  wire::FleetSnapshot snapshot;
   *snapshot.mutable_configuration() = configuration_;
   for (const auto& [model, version] : weights_) {
     wire::WeightsNamed& named = *snapshot.add_weights();
@@ -64,8 +74,12 @@
   for (const std::string& id : retired_) {
     snapshot.add_retired(id);
   }
-  jobs_.Save(&snapshot);
-  return snapshot;
+  visit(std::move(snapshot));
+  for (const std::string& id : jobs_.order()) {
+    wire::FleetSnapshot part;
+    jobs_.Save(id, &part);
+    visit(std::move(part));
+  }
 }
 
 void FleetLedger::Restore(const wire::FleetSnapshot& snapshot) {
--- a/src/limpethatch/version/fleet_ledger.h
+++ b/src/limpethatch/version/fleet_ledger.h
@@ -4,6 +4,7 @@
 #define LIMPETHATCH_VERSION_FLEET_LEDGER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -28,6 +29,9 @@
   const std::set<std::string>& retired() const { return retired_; }
 
   wire::FleetSnapshot Snapshot() const;
+  // The snapshot in parts, to be merged in this order.
+  void ForEachPart(
+      const std::function<void(wire::FleetSnapshot part)>& visit) const;
   void Restore(const wire::FleetSnapshot& snapshot);
 
  private:
--- a/src/limpethatch/version/job_ledger.cc
+++ b/src/limpethatch/version/job_ledger.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "limpethatch/process/compression.h"
+
 namespace limpethatch {
 namespace {
 
@@ -19,6 +21,14 @@
   }
 }
 
+// Drops what only a run needs. Clearing the fields would keep their memory.
+void KeepNameOnly(wire::JobSample* sample) {
+  wire::JobSample kept;
+  kept.set_id(sample->id());
+  kept.set_group(sample->group());
+  sample->Swap(&kept);
+}
+
 void Append(const wire::SampleAdvance& advance, SampleText* made) {
   for (const std::string& event : advance.events()) {
     if (made->events++ > 0) {
@@ -33,6 +43,11 @@
 
 }  // namespace
 
+std::string SampleText::Unpacked() const {
+  // Only what was packed here is unpacked.
+  return whole ? DecompressCommand(text).value_or("") : text;
+}
+
 bool VersionsFit(const wire::JobSubmit& submit,
                  const std::vector<uint64_t>& versions) {
   const bool recent = std::all_of(
@@ -90,7 +105,11 @@
   if (found == jobs_.end()) {
     return Verdict(wire::JobOutcome::UNKNOWN);
   }
-  found->second.ended = true;
+  Job& job = found->second;
+  job.ended = true;
+  for (wire::JobSample& sample : *job.submit.mutable_samples()) {
+    KeepNameOnly(&sample);
+  }
   return Verdict(wire::JobOutcome::ENDED);
 }
 
@@ -147,6 +166,7 @@
   }
   if (advance.state() == wire::SAMPLE_COMPLETED) {
     record.made.whole = true;
+    record.made.text = CompressCommand(std::move(record.made.text));
     Settle(job, advance.sample(), wire::SAMPLE_COMPLETED);
   }
 }
@@ -162,14 +182,7 @@
   }
   job.listed.push_back(index);
   record.made.text.shrink_to_fit();
-  // Only the id is needed from here on. Clearing fields would keep their
-  // memory.
-  wire::JobSample& sample =
-      *job.submit.mutable_samples(static_cast<int>(index));
-  wire::JobSample kept;
-  kept.set_id(sample.id());
-  kept.set_group(sample.group());
-  sample.Swap(&kept);
+  KeepNameOnly(job.submit.mutable_samples(static_cast<int>(index)));
 }
 
 const Job* JobLedger::Find(std::string_view id) const {
@@ -190,14 +203,15 @@
   for (; position < job->listed.size(); ++position) {
     const uint32_t index = job->listed[position];
     const JobSampleRecord& record = job->samples[index];
-    bytes += record.made.text.size();
+    std::string text = record.made.Unpacked();
+    bytes += text.size();
     if (bytes > kMaxPageBytes && position > after) {
       break;
     }
     wire::JobResult& result = *page.add_results();
     result.set_id(job->submit.samples(static_cast<int>(index)).id());
     result.set_state(record.state);
-    result.set_text(record.made.text);
+    result.set_text(std::move(text));
     for (const uint64_t version : record.made.versions) {
       result.add_versions(version);
     }
@@ -226,24 +240,29 @@
 
 void JobLedger::Save(wire::FleetSnapshot* snapshot) const {
   for (const std::string& id : order_) {
-    const Job& job = jobs_.at(id);
-    wire::JobSnapshot& saved = *snapshot->add_jobs();
-    *saved.mutable_submit() = job.submit;
-    saved.set_ended(job.ended);
-    for (const uint32_t index : job.listed) {
-      saved.add_listed(index);
-    }
-    for (const JobSampleRecord& record : job.samples) {
-      wire::SampleRecordSnapshot& sample = *saved.add_samples();
-      sample.set_state(record.state);
-      sample.set_text(record.made.text);
-      sample.set_events(record.made.events);
-      sample.set_failures(record.failures);
-      sample.set_whole(record.made.whole);
-      sample.set_carried(record.carried);
-      for (const uint64_t version : record.made.versions) {
-        sample.add_versions(version);
-      }
+    Save(id, snapshot);
+  }
+}
+
+void JobLedger::Save(const std::string& id,
+                     wire::FleetSnapshot* snapshot) const {
+  const Job& job = jobs_.at(id);
+  wire::JobSnapshot& saved = *snapshot->add_jobs();
+  *saved.mutable_submit() = job.submit;
+  saved.set_ended(job.ended);
+  for (const uint32_t index : job.listed) {
+    saved.add_listed(index);
+  }
+  for (const JobSampleRecord& record : job.samples) {
+    wire::SampleRecordSnapshot& sample = *saved.add_samples();
+    sample.set_state(record.state);
+    sample.set_text(record.made.text);
+    sample.set_events(record.made.events);
+    sample.set_failures(record.failures);
+    sample.set_whole(record.made.whole);
+    sample.set_carried(record.carried);
+    for (const uint64_t version : record.made.versions) {
+      sample.add_versions(version);
     }
   }
 }
--- a/src/limpethatch/version/job_ledger.h
+++ b/src/limpethatch/version/job_ledger.h
@@ -22,10 +22,14 @@
 
 // Text of one sample as far as it is recorded.
 struct SampleText {
-  std::string text;  // Data of each event, separated by line feeds.
+  // Data of each event, separated by line feeds. Packed once it is whole.
+  std::string text;
   uint32_t events = 0;
   std::vector<uint64_t> versions;  // Ascending, each once.
   bool whole = false;
+
+  // The text as it was made.
+  std::string Unpacked() const;
 };
 
 struct JobSampleRecord {
@@ -69,7 +73,9 @@
   // The body of a sample that is not listed, of a job that is not ended.
   wire::JobBody Body(std::string_view job, std::string_view sample) const;
 
+  // Adds all jobs, or one, to the snapshot.
   void Save(wire::FleetSnapshot* snapshot) const;
+  void Save(const std::string& job, wire::FleetSnapshot* snapshot) const;
   void Load(const wire::FleetSnapshot& snapshot);
 
  private:
--- a/src/programs/control/control_settings.cc
+++ b/src/programs/control/control_settings.cc
@@ -42,6 +42,7 @@
   reader.Read("order_delivery_bound", &order_delivery_bound, kOptional);
   reader.Read("snapshot_entries", &snapshot_entries, kOptional,
               kSnapshotEntries);
+  reader.ReadByteSize("snapshot_bytes", &snapshot_bytes, kOptional);
   reader.Read("dispatch", &dispatch, kOptional);
   if (dispatch != kWeighted && dispatch != kFifo) {
     reader.Fault("dispatch", "expected \"weighted\" or \"fifo\"");
--- a/src/programs/control/replica_runner.cc
+++ b/src/programs/control/replica_runner.cc
@@ -293,11 +293,19 @@
   }
 }
 
+void ReplicaRunner::CarryOut(NeedStateAction&) {
+  const uint64_t applied = consensus_->applied_index();
+  Log(LogLevel::kInfo, "state_sent", {{"index", applied}});
+  consensus_->ProvideState(applied, ledgers_->Snapshot());
+  ScheduleFlush();
+}
+
 void ReplicaRunner::CompactIfDue() {
   const uint64_t applied = consensus_->applied_index();
-  if (!consensus_->compacting() &&
-      applied - consensus_->log().snapshot_index() >=
-          settings_.snapshot_entries) {
+  const ReplicatedLog& log = consensus_->log();
+  if (!consensus_->compacting() && applied > log.snapshot_index() &&
+      (applied - log.snapshot_index() >= settings_.snapshot_entries ||
+       log.command_bytes() >= settings_.snapshot_bytes)) {
     consensus_->Compact(applied, ledgers_->Snapshot());
     ScheduleFlush();
   }
--- a/src/programs/ctl/explanation.h
+++ b/src/programs/ctl/explanation.h
@@ -13,7 +13,7 @@
 
 // One line of a log that has to do with the matter.
 struct LoggedEvent {
-  std::string time;      // As logged; wall clocks of processes may differ.
+  std::string time;  // As logged; wall clocks of processes may differ.
   std::string instance;
   std::string event;
   boost::json::object fields;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -209,7 +209,8 @@
 
 }  // namespace
 
-Test(gateway, without_a_configuration_it_is_not_ready_and_promises_nothing_ran) {
+Test(gateway,
+     without_a_configuration_it_is_not_ready_and_promises_nothing_ran) {
   Running running;
   running.Start();
   cr_assert(!running.Ready());
@@ -218,7 +219,8 @@
   cr_assert(answer.find("Retry-After") != std::string::npos);
 }
 
-Test(gateway, a_request_reaches_its_target_and_the_answer_comes_back_unchanged) {
+Test(gateway,
+     a_request_reaches_its_target_and_the_answer_comes_back_unchanged) {
   FakeTarget target(
       [](const HttpRequest& request) { return Signed(request, kId); });
   Running running;
@@ -281,7 +283,8 @@
       Post("/l/x", "X-Long: " + std::string(5000, 'x') + "\r\n");
   cr_assert(StatusOf(running.Call(large_header)) == "431");
   const std::string large_body =
-      "POST /l/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 101\r\n\r\n" +
+      "POST /l/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: "
+      "101\r\n\r\n" +
       std::string(101, 'x');
   cr_assert(StatusOf(running.Call(large_body)) == "413");
   const std::string two_lengths =
--- a/tests/process/consensus_world.cc
+++ b/tests/process/consensus_world.cc
@@ -156,6 +156,9 @@
       Apply(replica, apply->entry);
     } else if (const auto* restore = std::get_if<RestoreAction>(&action)) {
       node.applied = Split(restore->snapshot->state());
+    } else if (std::get_if<NeedStateAction>(&action)) {
+      node.consensus->ProvideState(node.consensus->applied_index(),
+                                   Join(node.applied));
     } else if (const auto* led = std::get_if<LeadershipAction>(&action)) {
       std::string& leader = leader_of_term_[led->term];
       if (led->leading && !leader.empty()) {
