--- a/src/limpethatch/connection/messenger.h
+++ b/src/limpethatch/connection/messenger.h
@@ -22,8 +22,10 @@
   int max_queued_per_peer = 256;
   // A connection that has carried nothing for this long is closed.
   Duration max_idle_time = std::chrono::seconds(60);
-  // A peer that does not take a connection for so long is tried anew.
-  Duration connect_timeout = std::chrono::milliseconds(500);
+  // A peer that does not take a connection for so long is tried anew: its
+  // machine may have had no power when it was asked. Many round trips within a
+  // region.
+  Duration connect_timeout = std::chrono::milliseconds(200);
   // Bytes that the peer's machine has not confirmed for so long end their
   // connection: it is partitioned, or something between lost track of it.
   Duration unconfirmed_timeout = std::chrono::milliseconds(1500);
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -111,6 +111,7 @@
   LoadTargets();
   UseSeeds(settings_.seeds);
   timers_.Every(kDigestPeriod, [this](TimePoint now) {
+    NoteSilentPeers(now);
     SendDigests(now);
     PlanMembers(now);
   });
@@ -342,6 +343,16 @@
   Broadcast(digest);
 }
 
+void FleetService::NoteSilentPeers(TimePoint now) {
+  for (auto& [id, peer] : peers_) {
+    if (peer.alive && now - peer.heard_at > kAliveWithin) {
+      peer.alive = false;
+      Log(LogLevel::kWarning, "control_instance_silent",
+          {{"id", id}, {"name", peer.record.name()}});
+    }
+  }
+}
+
 void FleetService::Broadcast(const wire::ControlDigest& digest) {
   wire::Envelope envelope;
   *envelope.mutable_control_digest() = digest;
@@ -393,6 +404,7 @@
   peer.record = record;
   if (heard_at != TimePoint::min()) {
     peer.heard_at = heard_at;
+    peer.alive = true;
   }
   client_.AddReplica(endpoint);
   replica_.AddContact(record.id(), endpoint);
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -70,6 +70,7 @@
   struct Peer {
     wire::ControlInstanceRecord record;
     TimePoint heard_at;
+    bool alive = false;  // As last logged.
   };
   struct Watcher {
     Endpoint reply_to;
@@ -97,6 +98,7 @@
   // Control instances.
   void Receive(const wire::ControlDigest& digest);
   void HearOf(const wire::ControlInstanceRecord& record, TimePoint heard_at);
+  void NoteSilentPeers(TimePoint now);
   void SendDigests(TimePoint now);
   void Broadcast(const wire::ControlDigest& digest);
   wire::ControlDigest NewDigest(TimePoint now) const;
