--- /dev/null
+++ b/src/programs/control/fleet_members.cc
@@ -0,0 +1,231 @@
+// Control instances: who is there, who votes, who is emptied.
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "limpethatch/process/log.h"
+#include "programs/control/fleet_service.h"
+
+namespace limpethatch {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A voter that was silent for so long is replaced if another can be had.
+constexpr Duration kReplaceAfter = milliseconds(2500);
+
+}  // namespace
+
+wire::ControlDigest FleetService::NewDigest(TimePoint now) const {
+  wire::ControlDigest digest;
+  wire::ControlInstanceRecord& self = *digest.mutable_sender();
+  self.set_id(settings_.process.id);
+  self.set_endpoint(settings_.peers.ToString());
+  self.set_name(settings_.name);
+  self.set_zone(settings_.process.zone);
+  self.set_stores(true);
+  for (const auto& [id, peer] : peers_) {
+    if (now - peer.heard_at < kAliveWithin) {
+      wire::ControlInstanceRecord& known = *digest.add_known();
+      known = peer.record;
+      known.set_age_ms(static_cast<uint64_t>(
+          std::chrono::duration_cast<milliseconds>(now - peer.heard_at)
+              .count()));
+    }
+  }
+  return digest;
+}
+
+void FleetService::SendDigests(TimePoint now) {
+  wire::ControlDigest digest = NewDigest(now);
+  for (const std::string& id : std::exchange(refreshed_, {})) {
+    const auto found = targets_.entries().find(id);
+    if (found != targets_.entries().end()) {
+      *digest.add_targets() = TargetRegistry::WithAge(found->second, now);
+    }
+  }
+  Broadcast(digest);
+}
+
+void FleetService::NoteSilentPeers(TimePoint now) {
+  for (auto& [id, peer] : peers_) {
+    if (peer.alive && now - peer.heard_at > kAliveWithin) {
+      peer.alive = false;
+      Log(LogLevel::kWarning, "control_instance_silent",
+          {{"id", id}, {"name", peer.record.name()}});
+    }
+  }
+}
+
+void FleetService::Broadcast(const wire::ControlDigest& digest) {
+  wire::Envelope envelope;
+  *envelope.mutable_control_digest() = digest;
+  const std::string bytes = envelope.SerializeAsString();
+  for (const auto& [id, peer] : peers_) {
+    Endpoint endpoint;
+    if (ParseEndpoint(peer.record.endpoint(), &endpoint)) {
+      messenger_.Send(endpoint, bytes);
+    }
+  }
+}
+
+void FleetService::Receive(const wire::ControlDigest& digest) {
+  const TimePoint now = Clock::now();
+  const auto known = peers_.find(digest.sender().id());
+  const bool was_silent =
+      known == peers_.end() || now - known->second.heard_at > kAliveWithin;
+  if (was_silent) {
+    Log(LogLevel::kInfo, "control_instance_heard",
+        {{"id", digest.sender().id()}, {"name", digest.sender().name()}});
+    for (const auto& [id, entry] : targets_.entries()) {
+      refreshed_.insert(id);
+    }
+  }
+  HearOf(digest.sender(), now);
+  replica_.Heard(digest.sender().id(), now);
+  for (const wire::ControlInstanceRecord& record : digest.known()) {
+    if (!peers_.contains(record.id())) {
+      HearOf(record, TimePoint::min());
+    }
+  }
+  bool changed = false;
+  for (const wire::TargetRecord& target : digest.targets()) {
+    changed |= TakeIn(target, now - milliseconds(target.age_ms()));
+  }
+  if (changed) {
+    PushNewsSoon();
+  }
+}
+
+void FleetService::HearOf(const wire::ControlInstanceRecord& record,
+                          TimePoint heard_at) {
+  Endpoint endpoint;
+  if (record.id() == settings_.process.id || record.id().empty() ||
+      !ParseEndpoint(record.endpoint(), &endpoint)) {
+    return;
+  }
+  Peer& peer = peers_[record.id()];
+  peer.record = record;
+  if (heard_at != TimePoint::min()) {
+    peer.heard_at = heard_at;
+    peer.alive = true;
+  }
+  client_.AddReplica(endpoint);
+  replica_.AddContact(record.id(), endpoint);
+}
+
+void FleetService::PlanMembers(TimePoint now) {
+  const Consensus* consensus = replica_.consensus();
+  if (!consensus || !Active(now) || !consensus->MembersCommitted()) {
+    return;
+  }
+  std::vector<KnownReplica> replicas;
+  const auto add = [&](const std::string& id, const std::string& endpoint,
+                       const std::string& zone, TimePoint heard_at) {
+    KnownReplica& replica = replicas.emplace_back();
+    replica.id = id;
+    replica.endpoint = endpoint;
+    replica.zone = zone;
+    replica.alive = now - heard_at < kAliveWithin;
+    replica.silent =
+        now - std::max(heard_at, consensus->leading_since()) > kReplaceAfter;
+    replica.retired = ledger().retired().contains(id);
+    for (const wire::Member& member : consensus->members().members()) {
+      if (member.id() == id) {
+        replica.member = true;
+        replica.votes = member.voter() && member.disk() != 0;
+      }
+    }
+  };
+  add(settings_.process.id, settings_.peers.ToString(), settings_.process.zone,
+      now);
+  for (const auto& [id, peer] : peers_) {
+    add(id, peer.record.endpoint(), peer.record.zone(), peer.heard_at);
+  }
+  const size_t wanted = 2 * settings_.tolerated_losses + 1;
+  const std::optional<MemberChange> change =
+      limpethatch::PlanMembers(replicas, wanted);
+  if (!change) {
+    return;
+  }
+  wire::MembersChange message;
+  if (change->kind == MemberChange::Kind::kAdd) {
+    message.mutable_add()->set_id(change->id);
+    message.mutable_add()->set_endpoint(change->endpoint);
+  } else {
+    message.set_remove(change->id);
+  }
+  const std::error_code error = replica_.ChangeMembers(message);
+  Log(LogLevel::kInfo, "members_change",
+      {{"change", change->kind == MemberChange::Kind::kAdd ? "add" : "remove"},
+       {"replica", change->id},
+       {"outcome", error ? error.message() : "proposed"}});
+}
+
+const FleetService::Peer* FleetService::FindByName(
+    const std::string& name) const {
+  for (const auto& [id, peer] : peers_) {
+    if (peer.record.name() == name) {
+      return &peer;
+    }
+  }
+  return nullptr;
+}
+
+size_t FleetService::StoresLeftWithout(const std::string& id,
+                                       TimePoint now) const {
+  const auto counts = [&](const std::string& other) {
+    return other != id && !ledger().retired().contains(other);
+  };
+  size_t left = counts(settings_.process.id) ? 1 : 0;
+  for (const auto& [other, peer] : peers_) {
+    left += counts(other) && now - peer.heard_at < kReplaceAfter ? 1 : 0;
+  }
+  return left;
+}
+
+std::optional<Emptying> FleetService::Empty(Yield yield,
+                                            const std::string& name) {
+  const TimePoint now = Clock::now();
+  const Peer* peer = FindByName(name);
+  if (!peer && name != settings_.name) {
+    return HasQuorumContact(now) ? std::optional(Emptying::kUnknownInstance)
+                                 : std::nullopt;
+  }
+  const std::string id = peer ? peer->record.id() : settings_.process.id;
+  if (!ledger().retired().contains(id)) {
+    if (StoresLeftWithout(id, now) < 2 * settings_.tolerated_losses + 1) {
+      return Emptying::kTooFewLeft;
+    }
+    wire::Command command;
+    command.mutable_instance_retire()->set_id(id);
+    if (Write(yield, std::move(command)) != Written::kDone) {
+      return std::nullopt;
+    }
+    Log(LogLevel::kInfo, "emptying", {{"name", name}, {"replica", id}});
+  }
+  return EmptyingState(yield, name);
+}
+
+std::optional<Emptying> FleetService::EmptyingState(Yield,
+                                                    const std::string& name) {
+  const Peer* peer = FindByName(name);
+  const Consensus* consensus = replica_.consensus();
+  if (!consensus || !HasQuorumContact(Clock::now())) {
+    return std::nullopt;
+  }
+  if (!peer && name != settings_.name) {
+    return Emptying::kUnknownInstance;
+  }
+  const std::string id = peer ? peer->record.id() : settings_.process.id;
+  if (!ledger().retired().contains(id) || !consensus->MembersCommitted()) {
+    return Emptying::kRunning;
+  }
+  const auto& members = consensus->members().members();
+  const bool member =
+      std::any_of(members.begin(), members.end(),
+                  [&](const auto& other) { return other.id() == id; });
+  return member ? Emptying::kRunning : Emptying::kCompleted;
+}
+
+}  // namespace limpethatch
--- /dev/null
+++ b/src/programs/control/fleet_metrics.cc
@@ -0,0 +1,58 @@
+// What a control instance of a fleet shows of itself.
+#include "limpethatch/process/metrics_text.h"
+#include "programs/control/fleet_service.h"
+
+namespace limpethatch {
+void FleetService::ServeMetrics(HttpExchange& exchange) {
+  MetricsText text;
+  const Consensus* consensus = replica_.consensus();
+  const auto count = [&](std::string_view name, std::string_view help,
+                         double value) {
+    text.Single(name, MetricType::kCounter, help, value);
+  };
+  const auto gauge = [&](std::string_view name, std::string_view help,
+                         double value) {
+    text.Single(name, MetricType::kGauge, help, value);
+  };
+  gauge("limpethatch_leading", "1 while this instance leads.",
+        consensus && consensus->leading() ? 1 : 0);
+  gauge("limpethatch_term", "Term of the last known leader.",
+        consensus ? static_cast<double>(consensus->term()) : 0);
+  gauge("limpethatch_commit_index", "Last committed entry.",
+        consensus ? static_cast<double>(consensus->commit_index()) : 0);
+  gauge("limpethatch_configuration_version", "Configuration in force here.",
+        static_cast<double>(ledger().configuration().version()));
+  gauge("limpethatch_gateways", "Gateways that ask this instance for news.",
+        static_cast<double>(watchers_.size()));
+  gauge("limpethatch_targets", "Targets known, tombstones included.",
+        static_cast<double>(targets_.entries().size()));
+  gauge("limpethatch_jobs", "Batch jobs kept.",
+        static_cast<double>(ledger().jobs().jobs().size()));
+  gauge("limpethatch_samples_running", "Samples at engines.",
+        static_cast<double>(scheduler_.running()));
+  const SampleRunner::Counters& runs = runner_.counters();
+  count("limpethatch_samples_started_total", "Runs begun.",
+        static_cast<double>(runs.started));
+  count("limpethatch_samples_finished_total", "Runs that ended whole or dead.",
+        static_cast<double>(runs.finished));
+  count("limpethatch_samples_not_run_total", "Runs that engines refused.",
+        static_cast<double>(runs.not_run));
+  count("limpethatch_samples_failed_total", "Runs that engines failed.",
+        static_cast<double>(runs.failed));
+  count("limpethatch_samples_broken_total", "Streams that broke off.",
+        static_cast<double>(runs.broken));
+  count("limpethatch_samples_stopped_total", "Runs stopped by the scheduler.",
+        static_cast<double>(runs.stopped));
+  count("limpethatch_sample_events_total", "Events taken in.",
+        static_cast<double>(runs.events));
+  count("limpethatch_weight_orders_accepted_total", "Loads begun.",
+        static_cast<double>(orderer_.accepted()));
+  count("limpethatch_weight_orders_lost_total", "Orders without an answer.",
+        static_cast<double>(orderer_.lost()));
+  HttpResponse response;
+  response.headers.Set("Content-Type", "text/plain; version=0.0.4");
+  response.body = text.text();
+  exchange.Respond(response);
+}
+
+}  // namespace limpethatch
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -67,6 +67,10 @@
                                         const std::string& name) override;
 
  private:
+  // A control instance that was heard this long ago counts as there: several
+  // digests.
+  static constexpr Duration kAliveWithin = std::chrono::milliseconds(1000);
+
   struct Peer {
     wire::ControlInstanceRecord record;
     TimePoint heard_at;
--- /dev/null
+++ b/src/programs/control/fleet_targets.cc
@@ -0,0 +1,181 @@
+// Targets, and the gateways that are told of them.
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "limpethatch/process/log.h"
+#include "programs/control/fleet_service.h"
+
+namespace limpethatch {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kTargetsFile = "targets";
+// Changes of targets that come together are saved together.
+constexpr Duration kSaveDelay = milliseconds(150);
+// Changes that come together are told together.
+constexpr Duration kPushDelay = milliseconds(2);
+
+}  // namespace
+
+void FleetService::LoadTargets() {
+  const Result<std::string> contents = disk_.Read(kTargetsFile);
+  wire::ControlDigest saved;
+  if (!contents || !saved.ParseFromString(contents.value())) {
+    return;  // The first start, or a copy that was torn.
+  }
+  for (const wire::TargetRecord& target : saved.targets()) {
+    targets_.Merge(target, Clock::now());
+  }
+  Log(LogLevel::kInfo, "targets_loaded",
+      {{"targets", targets_.entries().size()}});
+}
+
+void FleetService::SaveTargetsSoon() {
+  if (!std::exchange(save_due_, true)) {
+    timers_.After(kSaveDelay, [this](TimePoint) { SaveTargets(); });
+  }
+}
+
+void FleetService::SaveTargets() {
+  save_due_ = false;
+  wire::ControlDigest saved;
+  for (const auto& [id, entry] : targets_.entries()) {
+    *saved.add_targets() = entry.record;
+  }
+  if (std::error_code error =
+          disk_.Replace(kTargetsFile, saved.SerializeAsString())) {
+    // They will announce themselves again anyway.
+    Log(LogLevel::kWarning, "targets_not_saved", {{"error", error.message()}});
+  }
+}
+
+bool FleetService::TakeIn(const wire::TargetRecord& target,
+                          TimePoint heard_at) {
+  const uint64_t before = targets_.revision();
+  const TargetChange change = targets_.Merge(target, heard_at);
+  if (change == TargetChange::kStale) {
+    return false;
+  }
+  const TimePoint now = Clock::now();
+  if (targets_.revision() != before) {
+    SaveTargetsSoon();
+    for (const wire::TargetRecord& record :
+         targets_.ChangedSince(before, now)) {
+      scheduler_.board().Announce(record);
+      Log(LogLevel::kInfo, "target_changed",
+          {{"target", record.id()},
+           {"service", record.service()},
+           {"address", record.address()},
+           {"incarnation", record.born_ms()},
+           {"sequence", record.sequence()},
+           {"draining", record.draining()},
+           {"gone", record.gone()}});
+    }
+  } else {
+    scheduler_.board().Announce(targets_.entries().at(target.id()).record);
+  }
+  WorkSoon();
+  return change == TargetChange::kChanged;
+}
+
+bool FleetService::KnowsService(std::string_view service) const {
+  const wire::FleetConfiguration& stands = ledger().configuration();
+  return stands.version() == 0 ||
+         std::any_of(
+             stands.services().begin(), stands.services().end(),
+             [&](const auto& declared) { return declared.name() == service; });
+}
+
+bool FleetService::Announce(const wire::TargetRecord& target) {
+  const TimePoint now = Clock::now();
+  if (TakeIn(target, now)) {
+    wire::ControlDigest digest = NewDigest(now);
+    *digest.add_targets() =
+        TargetRegistry::WithAge(targets_.entries().at(target.id()), now);
+    Broadcast(digest);
+    PushNewsSoon();
+  } else {
+    refreshed_.insert(target.id());
+  }
+  return HasQuorumContact(now);
+}
+
+bool FleetService::Leave(std::string_view id, std::optional<uint64_t> born_ms) {
+  const TimePoint now = Clock::now();
+  if (targets_.Leave(id, born_ms, now) == TargetChange::kChanged) {
+    const auto& entry = targets_.entries().find(id)->second;
+    scheduler_.board().Drop(id);
+    SaveTargetsSoon();
+    wire::ControlDigest digest = NewDigest(now);
+    *digest.add_targets() = TargetRegistry::WithAge(entry, now);
+    Broadcast(digest);
+    PushNewsSoon();
+    Log(LogLevel::kInfo, "target_left",
+        {{"target", id}, {"incarnation", entry.record.born_ms()}});
+  }
+  return HasQuorumContact(now);
+}
+
+void FleetService::Receive(const wire::Watch& watch) {
+  const TimePoint now = Clock::now();
+  Watcher& watcher = watchers_[watch.instance()];
+  if (!ParseEndpoint(watch.reply_to(), &watcher.reply_to)) {
+    watchers_.erase(watch.instance());
+    return;
+  }
+  if (watch.answer_missed()) {
+    messenger_.Reset(watcher.reply_to);
+  }
+  watcher.heard_at = now;
+  watcher.configuration_version = watch.configuration_version();
+  watcher.revision = watch.epoch() == epoch_ ? watch.revision() : 0;
+  SendNews(watcher, now);
+}
+
+void FleetService::PushNewsSoon() {
+  if (!std::exchange(push_due_, true)) {
+    timers_.After(kPushDelay, [this](TimePoint) { PushNews(); });
+  }
+}
+
+void FleetService::PushNews() {
+  push_due_ = false;
+  const TimePoint now = Clock::now();
+  for (auto& [instance, watcher] : watchers_) {
+    SendNews(watcher, now);
+  }
+}
+
+void FleetService::SendNews(Watcher& watcher, TimePoint now) {
+  wire::Envelope envelope;
+  wire::FleetNews& news = *envelope.mutable_fleet_news();
+  news.set_from(settings_.peers.ToString());
+  news.set_quorum_contact(HasQuorumContact(now));
+  news.set_epoch(epoch_);
+  news.set_base_revision(watcher.revision);
+  news.set_revision(targets_.revision());
+  news.set_leader(replica_.LeaderEndpoint());
+  for (wire::TargetRecord& target :
+       targets_.ChangedSince(watcher.revision, now)) {
+    target.clear_weights();
+    *news.add_targets() = std::move(target);
+  }
+  if (const wire::FleetConfiguration& stands = ledger().configuration();
+      stands.version() > watcher.configuration_version) {
+    *news.mutable_configuration() = stands;
+    news.mutable_configuration()->clear_document();
+    watcher.configuration_version = stands.version();
+  }
+  news.add_control_endpoints(settings_.peers.ToString());
+  for (const auto& [id, peer] : peers_) {
+    if (now - peer.heard_at < kAliveWithin) {
+      news.add_control_endpoints(peer.record.endpoint());
+    }
+  }
+  watcher.revision = targets_.revision();
+  messenger_.Send(watcher.reply_to, envelope.SerializeAsString());
+}
+
+}  // namespace limpethatch
