Send a state's next chunk once the last is answered or lost

Ruled out: the cost of making the state (16 to 21 MB, once a leadership).

Change: a chunk is sent again only after an election timeout without an answer; in between the peer gets heartbeats. Chunks have 256 KB. The log says how large a state is.

Tests: cases of disks moved to a file of their own, unchanged.

--- a/src/limpethatch/process/consensus.cc
+++ b/src/limpethatch/process/consensus.cc
@@ -134,7 +134,7 @@
   snapshot_to_send_ = SnapshotOf(index, std::move(state));
   for (auto& [id, peer] : progress_) {
     peer.snapshot_offset = 0;
-    peer.snapshot_sent = false;
+    peer.chunk_sent_at.reset();
   }
 }
 
@@ -178,14 +178,14 @@
   snapshot_to_persist_ = std::move(snapshot);
   for (auto& [id, peer] : progress_) {
     peer.snapshot_offset = 0;
-    peer.snapshot_sent = false;
+    peer.chunk_sent_at.reset();
   }
 }
 
 std::vector<ConsensusAction> Consensus::TakeActions(TimePoint now) {
   if (leading()) {
     for (auto& [id, peer] : progress_) {
-      if (peer.next <= log_.last_index() && !peer.snapshot_sent) {
+      if (peer.next <= log_.last_index() && !peer.chunk_sent_at) {
         SendAppend(id, now);
       }
     }
--- a/src/limpethatch/process/consensus.h
+++ b/src/limpethatch/process/consensus.h
@@ -55,8 +55,9 @@
     uint64_t next = 1;
     uint64_t disk = 0;
     uint64_t snapshot_offset = 0;
-    bool snapshot_sent = false;  // A chunk is on its way.
-    TimePoint lease_from{};      // When the latest answered message was sent.
+    // When the chunk that is on its way was sent; nothing if none is.
+    std::optional<TimePoint> chunk_sent_at = std::nullopt;
+    TimePoint lease_from{};  // When the latest answered message was sent.
   };
 
   Consensus(ConsensusOptions options,
@@ -153,6 +154,7 @@
   // Replication (consensus_replication.cc).
   void AppendOwn(wire::LogEntry entry);
   void SendAppend(const std::string& to, TimePoint now);
+  void SendHeartbeat(const std::string& to, TimePoint now);
   void SendSnapshotChunk(const std::string& to, TimePoint now);
   std::shared_ptr<wire::SnapshotRecord> SnapshotOf(uint64_t index,
                                                    std::string state) const;
--- a/src/limpethatch/process/consensus_replication.cc
+++ b/src/limpethatch/process/consensus_replication.cc
@@ -37,9 +37,18 @@
   bool state_needed = false;
   for (const std::string& id : Peers()) {
     Progress& peer = progress_[id];
-    peer.snapshot_sent = false;
-    state_needed = state_needed || !log_.TermAt(peer.next - 1);
-    SendAppend(id, now);
+    if (log_.TermAt(peer.next - 1)) {
+      peer.chunk_sent_at.reset();
+    } else {
+      state_needed = true;
+    }
+    // A chunk without an answer for so long is lost.
+    if (peer.chunk_sent_at &&
+        now - *peer.chunk_sent_at < options_.election_timeout) {
+      SendHeartbeat(id, now);
+    } else {
+      SendAppend(id, now);
+    }
   }
   if (!state_needed) {
     snapshot_to_send_.reset();
@@ -70,6 +79,14 @@
   Send(to, std::move(message));
 }
 
+// Fits every log, as it claims nothing of it.
+void Consensus::SendHeartbeat(const std::string& to, TimePoint now) {
+  wire::ConsensusMessage message = NewMessage();
+  message.mutable_append()->set_commit(commit_);
+  message.mutable_append()->set_sent_at(ToWire(now));
+  Send(to, std::move(message));
+}
+
 void Consensus::SendSnapshotChunk(const std::string& to, TimePoint now) {
   if (!snapshot_to_send_ ||
       snapshot_to_send_->index() < log_.snapshot_index()) {
@@ -90,7 +107,7 @@
   chunk.set_data(snapshot.state().substr(peer.snapshot_offset,
                                          options_.snapshot_chunk_bytes));
   chunk.set_sent_at(ToWire(now));
-  peer.snapshot_sent = true;
+  peer.chunk_sent_at = now;
   Send(to, std::move(message));
 }
 
@@ -277,7 +294,7 @@
     return;
   }
   peer->snapshot_offset = reply.next_offset();
-  peer->snapshot_sent = false;
+  peer->chunk_sent_at.reset();
   if (reply.next_offset() >= snapshot_to_send_->state().size()) {
     peer->next = std::max(peer->next, reply.index() + 1);
   } else {
--- a/src/limpethatch/process/consensus_types.h
+++ b/src/limpethatch/process/consensus_types.h
@@ -32,7 +32,9 @@
   // The shortest silence after which a follower elects another leader.
   Duration election_timeout = std::chrono::milliseconds(500);
   size_t max_append_bytes = 1024 * 1024;
-  size_t snapshot_chunk_bytes = 1024 * 1024;
+  // Takes a few ms on a link of some 100 Mbit/s, so that heartbeats behind it
+  // are not held up.
+  size_t snapshot_chunk_bytes = 256 * 1024;
   size_t max_command_bytes = 8 * 1024 * 1024;
   // Random; becomes the disk's identity if the present one is refused.
   uint64_t spare_disk = 0;
--- a/src/programs/control/replica_runner.cc
+++ b/src/programs/control/replica_runner.cc
@@ -295,8 +295,10 @@
 
 void ReplicaRunner::CarryOut(NeedStateAction&) {
   const uint64_t applied = consensus_->applied_index();
-  Log(LogLevel::kInfo, "state_sent", {{"index", applied}});
-  consensus_->ProvideState(applied, ledgers_->Snapshot());
+  std::string state = ledgers_->Snapshot();
+  Log(LogLevel::kInfo, "state_sent",
+      {{"index", applied}, {"bytes", state.size()}});
+  consensus_->ProvideState(applied, std::move(state));
   ScheduleFlush();
 }
 
--- /dev/null
+++ b/tests/process/lone_replica.h
@@ -0,0 +1,130 @@
+// One replica of three, fed with messages by hand.
+#ifndef TESTS_PROCESS_LONE_REPLICA_H_
+#define TESTS_PROCESS_LONE_REPLICA_H_
+
+#include <chrono>
+#include <random>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "limpethatch/process/consensus.h"
+
+namespace limpethatch {
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+constexpr uint64_t kTerm = 4;
+
+// Replica "a" of three, restarted in kTerm with one entry of term 2.
+class LoneReplica {
+ public:
+  LoneReplica() : consensus(Options(), State(), std::mt19937_64(1), kStart) {
+    wire::ConsensusMessage known = From("b", 0);
+    known.mutable_greeting_reply()->set_disk(1);
+    known.mutable_greeting_reply()->set_session(1);
+    consensus.Receive(known, kStart);
+    Take(kStart);
+  }
+
+  static ConsensusOptions Options() {
+    ConsensusOptions options;
+    options.id = "a";
+    return options;
+  }
+
+  static DurableState State() {
+    DurableState state;
+    state.hard_state.set_term(kTerm);
+    state.hard_state.set_disk(1);
+    state.hard_state.set_session(1);
+    uint64_t disk = 0;
+    for (const char* id : {"a", "b", "c"}) {
+      wire::Member& member =
+          *state.hard_state.mutable_founders()->add_members();
+      member.set_id(id);
+      member.set_disk(++disk);
+      member.set_voter(true);
+    }
+    state.entries.emplace_back().set_index(1);
+    state.entries.back().set_term(2);
+    state.entries.back().set_command("old");
+    return state;
+  }
+
+  static wire::ConsensusMessage From(const std::string& id, uint64_t term) {
+    wire::ConsensusMessage message;
+    message.set_from(id);
+    message.set_term(term);
+    message.set_disk(id == "b" ? 2 : 3);
+    return message;
+  }
+
+  wire::ConsensusMessage VoteRequest(const std::string& id) {
+    wire::ConsensusMessage message = From(id, kTerm + 1);
+    message.mutable_vote_request()->set_term(kTerm + 1);
+    message.mutable_vote_request()->set_last_index(9);
+    message.mutable_vote_request()->set_last_term(3);
+    return message;
+  }
+
+  // Collects the actions of now.
+  void Take(TimePoint now) {
+    persisted.clear();
+    sent.clear();
+    for (ConsensusAction& action : consensus.TakeActions(now)) {
+      if (auto* persist = std::get_if<PersistAction>(&action)) {
+        persisted.push_back(std::move(*persist));
+      } else if (auto* send = std::get_if<SendAction>(&action)) {
+        sent.push_back(std::move(*send));
+      }
+    }
+  }
+
+  void Sync(TimePoint now) {
+    Take(now);
+    if (!persisted.empty()) {
+      consensus.Persisted(persisted.back().sequence, now);
+    }
+  }
+
+  // Elects this replica by the votes of "b" and syncs it.
+  TimePoint Lead() {
+    TimePoint now = kStart;
+    while (!consensus.leading()) {
+      now += std::chrono::milliseconds(10);
+      consensus.Tick(now);
+      Sync(now);
+      wire::ConsensusMessage vote = From("b", consensus.term());
+      vote.mutable_vote_reply()->set_granted(true);
+      vote.mutable_vote_reply()->set_term(consensus.term());
+      consensus.Receive(vote, now);
+      vote.mutable_vote_reply()->set_trial(true);
+      vote.mutable_vote_reply()->set_term(consensus.term() + 1);
+      consensus.Receive(vote, now);
+    }
+    Sync(now);
+    return now;
+  }
+
+  void Acknowledge(uint64_t match, TimePoint sent_at) {
+    wire::ConsensusMessage reply = From("b", consensus.term());
+    reply.mutable_append_reply()->set_matched(true);
+    reply.mutable_append_reply()->set_match(match);
+    reply.mutable_append_reply()->set_sent_at(
+        sent_at.time_since_epoch().count());
+    consensus.Receive(reply, sent_at);
+  }
+
+  bool Granted() const {
+    return !sent.empty() && sent.back().message.vote_reply().granted();
+  }
+
+  Consensus consensus;
+  std::vector<PersistAction> persisted;
+  std::vector<SendAction> sent;
+};
+
+}  // namespace limpethatch
+
+#endif  // TESTS_PROCESS_LONE_REPLICA_H_
--- /dev/null
+++ b/tests/process/settled_world.h
@@ -0,0 +1,25 @@
+#ifndef TESTS_PROCESS_SETTLED_WORLD_H_
+#define TESTS_PROCESS_SETTLED_WORLD_H_
+
+#include <chrono>
+
+#include "process/consensus_world.h"
+
+#include <criterion/criterion.h>
+
+namespace limpethatch {
+
+// A world whose replicas have all taken up `commands` commands.
+inline void Settle(ConsensusWorld& world, int commands = 3) {
+  cr_assert(
+      world.RunUntil(std::chrono::seconds(10), [&] { return world.Healed(); }));
+  for (int i = 0; i < commands; ++i) {
+    cr_assert(world.Propose());
+  }
+  cr_assert(
+      world.RunUntil(std::chrono::seconds(10), [&] { return world.Healed(); }));
+}
+
+}  // namespace limpethatch
+
+#endif  // TESTS_PROCESS_SETTLED_WORLD_H_
