--- /dev/null
+++ b/src/limpethatch/connection/internal/inbound_messages.cc
@@ -0,0 +1,158 @@
+#include "limpethatch/connection/internal/inbound_messages.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "limpethatch/connection/internal/message_frame.h"
+#include "limpethatch/process/log.h"
+
+namespace limpethatch {
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+namespace {
+
+constexpr size_t kReadBytes = 4UL * 1024;
+// A larger buffer is freed once its messages were taken.
+constexpr size_t kKeptBytes = 16UL * 1024;
+// An inbound connection outlives the idle time of its sender by this factor.
+constexpr int kInboundIdleFactor = 2;
+
+}  // namespace
+
+struct InboundMessages::Connection {
+  explicit Connection(asio::io_context& io) : socket(io) {}
+
+  tcp::socket socket;
+  std::string buffer;
+  size_t used = 0;             // Bytes at its front, not yet a whole message.
+  size_t wanted = kReadBytes;  // Room to make for the next read.
+  TimePoint last_used;
+};
+
+InboundMessages::InboundMessages(asio::io_context& io,
+                                 MessengerOptions options,
+                                 Receiver receiver)
+    : io_(io),
+      options_(std::move(options)),
+      receiver_(std::move(receiver)),
+      acceptor_(io) {}
+
+std::error_code InboundMessages::Listen(const Endpoint& endpoint) {
+  error_code error;
+  tcp::acceptor acceptor(io_);
+  const auto address = asio::ip::make_address_v4(endpoint.host, error);
+  if (!error) {
+    acceptor.open(tcp::v4());
+    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    acceptor.bind({address, endpoint.port}, error);
+  }
+  if (!error) {
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return error;
+  }
+  asio::post(io_,
+             [self = shared_from_this(),
+              socket = std::make_shared<tcp::acceptor>(std::move(acceptor))] {
+               self->acceptor_ = std::move(*socket);
+               self->Accept();
+             });
+  return {};
+}
+
+void InboundMessages::Close() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  for (const auto& connection : connections_) {
+    connection->socket.close(ignored);
+  }
+  connections_.clear();
+}
+
+void InboundMessages::Accept() {
+  auto connection = std::make_shared<Connection>(io_);
+  acceptor_.async_accept(connection->socket, [self = shared_from_this(),
+                                              connection](error_code failed) {
+    if (failed == asio::error::operation_aborted || self->stopped_) {
+      return;
+    }
+    if (failed) {
+      Log(LogLevel::kWarning, "accept_failed", {{"error", failed.message()}});
+    } else {
+      const TimePoint now = Clock::now();
+      self->Sweep(now);
+      connection->last_used = now;
+      self->connections_.push_back(connection);
+      self->Read(connection);
+    }
+    self->Accept();
+  });
+}
+
+void InboundMessages::Sweep(TimePoint now) {
+  for (const auto& connection : connections_) {
+    if (now - connection->last_used >
+        kInboundIdleFactor * options_.max_idle_time) {
+      error_code ignored;
+      connection->socket.close(ignored);
+    }
+  }
+}
+
+void InboundMessages::Read(const std::shared_ptr<Connection>& connection) {
+  if (connection->buffer.size() < connection->used + connection->wanted) {
+    connection->buffer.resize(connection->used + connection->wanted);
+  }
+  connection->socket.async_read_some(
+      asio::buffer(connection->buffer.data() + connection->used,
+                   connection->buffer.size() - connection->used),
+      [self = shared_from_this(), connection](error_code failed, size_t size) {
+        if (self->stopped_) {
+          return;
+        }
+        connection->last_used = Clock::now();
+        connection->used += size;
+        if (failed || !self->TakeMessages(*connection)) {
+          error_code ignored;
+          connection->socket.close(ignored);
+          self->connections_.remove(connection);
+          return;
+        }
+        self->Read(connection);
+      });
+}
+
+bool InboundMessages::TakeMessages(Connection& connection) {
+  std::string_view left(connection.buffer.data(), connection.used);
+  connection.wanted = kReadBytes;
+  while (left.size() >= kFrameHeaderBytes && !stopped_) {
+    const uint64_t length = LengthOfMessage(left);
+    if (length > options_.max_message_bytes) {
+      Log(LogLevel::kWarning, "messenger_message_too_large",
+          {{"bytes", length}});
+      return false;
+    }
+    if (left.size() - kFrameHeaderBytes < length) {
+      connection.wanted = std::max<size_t>(
+          kReadBytes, kFrameHeaderBytes + length - left.size());
+      break;
+    }
+    bytes_received_ += length + kFrameHeaderBytes;
+    receiver_(left.substr(kFrameHeaderBytes, length));
+    left.remove_prefix(kFrameHeaderBytes + length);
+  }
+  // Once for each read that completed a message, not for each read.
+  if (left.size() < connection.used) {
+    connection.buffer.erase(0, connection.used - left.size());
+    connection.used = left.size();
+    if (connection.used == 0 && connection.buffer.size() > kKeptBytes) {
+      std::string().swap(connection.buffer);
+    }
+  }
+  return true;
+}
+
+}  // namespace limpethatch
--- /dev/null
+++ b/src/limpethatch/connection/internal/outbound_messages.cc
@@ -0,0 +1,292 @@
+#include "limpethatch/connection/internal/outbound_messages.h"
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "limpethatch/connection/internal/message_frame.h"
+#include "limpethatch/process/log.h"
+
+namespace limpethatch {
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+namespace {
+
+// Messages that wait together are written together, up to about this much.
+constexpr size_t kWriteBytes = 64UL * 1024;
+// Between two attempts to connect to one peer.
+constexpr Duration kReconnectDelay = std::chrono::milliseconds(50);
+// Idle connections are looked for at most this often.
+constexpr Duration kSweepPeriod = std::chrono::seconds(1);
+
+void SetUnconfirmedTimeout(tcp::socket& socket, Duration timeout) {
+  using UserTimeout =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  error_code ignored;
+  socket.set_option(
+      UserTimeout(static_cast<int>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(timeout)
+              .count())),
+      ignored);
+  socket.set_option(tcp::no_delay(true), ignored);
+}
+
+}  // namespace
+
+OutboundMessages::OutboundMessages(asio::io_context& io,
+                                   MessengerOptions options)
+    : io_(io), options_(std::move(options)) {}
+
+void OutboundMessages::Send(const Endpoint& endpoint,
+                            std::string_view message) {
+  if (message.size() > options_.max_message_bytes) {
+    Log(LogLevel::kError, "messenger_message_too_large",
+        {{"peer", endpoint.ToString()}, {"bytes", message.size()}});
+    return;
+  }
+  PeerPtr peer;
+  std::vector<PeerPtr> idle;
+  {
+    const TimePoint now = Clock::now();
+    std::scoped_lock lock(mutex_);
+    TakeIdle(now, &idle);
+    peer = PeerOf(endpoint, now);
+    Queue(*peer, message, now);
+  }
+  for (const PeerPtr& closing : idle) {
+    Close(closing);
+  }
+  asio::post(io_, [self = shared_from_this(), peer, endpoint] {
+    self->Kick(peer, endpoint);
+  });
+}
+
+void OutboundMessages::Queue(Peer& peer,
+                             std::string_view message,
+                             TimePoint now) {
+  const auto most = static_cast<size_t>(options_.max_queued_per_peer);
+  const bool too_many = peer.queue.size() + peer.in_flight >= most;
+  const bool too_large =
+      !peer.queue.empty() &&
+      peer.queued_bytes + message.size() > options_.max_queued_bytes_per_peer;
+  if (too_many || too_large) {
+    Log(LogLevel::kDebug, "message_dropped",
+        {{"queued", peer.queue.size()}, {"queued_bytes", peer.queued_bytes}});
+    return;
+  }
+  Waiting waiting{FrameOf(message), now};
+  bytes_sent_ += waiting.frame.size();
+  peer.queued_bytes += waiting.frame.size();
+  peer.queue.push_back(std::move(waiting));
+}
+
+std::string OutboundMessages::TakeFront(Peer& peer) {
+  std::string frame = std::move(peer.queue.front().frame);
+  peer.queue.pop_front();
+  peer.queued_bytes -= frame.size();
+  return frame;
+}
+
+void OutboundMessages::Reset(const Endpoint& endpoint) {
+  PeerPtr peer;
+  {
+    std::scoped_lock lock(mutex_);
+    const auto found = peers_.find(endpoint);
+    if (found == peers_.end()) {
+      return;
+    }
+    peer = found->second;
+    peers_.erase(found);
+  }
+  Close(peer);
+}
+
+void OutboundMessages::CloseAll() {
+  error_code ignored;
+  std::scoped_lock lock(mutex_);
+  for (const auto& [endpoint, peer] : peers_) {
+    peer->closed = true;
+    peer->timer.cancel();
+    peer->socket.close(ignored);
+  }
+  peers_.clear();
+}
+
+size_t OutboundMessages::open_peers() const {
+  std::scoped_lock lock(mutex_);
+  return peers_.size();
+}
+
+OutboundMessages::PeerPtr OutboundMessages::PeerOf(const Endpoint& endpoint,
+                                                   TimePoint now) {
+  PeerPtr& peer = peers_[endpoint];
+  if (!peer) {
+    peer = std::make_shared<Peer>(io_);
+  }
+  peer->last_used = now;
+  return peer;
+}
+
+void OutboundMessages::TakeIdle(TimePoint now, std::vector<PeerPtr>* idle) {
+  if (now - last_sweep_ < std::min(kSweepPeriod, options_.max_idle_time)) {
+    return;
+  }
+  last_sweep_ = now;
+  std::erase_if(peers_, [&](const auto& entry) {
+    const bool expired = now - entry.second->last_used > options_.max_idle_time;
+    if (expired) {
+      idle->push_back(entry.second);
+    }
+    return expired;
+  });
+}
+
+void OutboundMessages::Close(const PeerPtr& peer) {
+  asio::post(io_, [self = shared_from_this(), peer] {
+    peer->closed = true;
+    error_code ignored;
+    peer->timer.cancel();
+    peer->socket.close(ignored);
+  });
+}
+
+void OutboundMessages::Kick(const PeerPtr& peer, const Endpoint& endpoint) {
+  if (peer->closed) {
+    return;
+  }
+  if (peer->connected) {
+    WriteNext(peer, endpoint);
+  } else if (!peer->connecting) {
+    Connect(peer, endpoint);
+  }
+}
+
+void OutboundMessages::Connect(const PeerPtr& peer, const Endpoint& endpoint) {
+  peer->connecting = true;
+  const Endpoint& address = Translate(options_.translation, endpoint);
+  error_code error;
+  const auto ip = asio::ip::make_address_v4(address.host, error);
+  if (error) {
+    Log(LogLevel::kWarning, "messenger_address_wrong",
+        {{"peer", endpoint.ToString()}, {"error", error.message()}});
+    return;
+  }
+  peer->socket = tcp::socket(io_);
+  peer->timer.expires_after(options_.connect_timeout);
+  peer->timer.async_wait([self = shared_from_this(), peer](error_code failed) {
+    error_code ignored;
+    if (!failed && peer->connecting) {
+      peer->socket.close(ignored);
+    }
+  });
+  peer->socket.async_connect(
+      {ip, address.port},
+      [self = shared_from_this(), peer, endpoint](error_code failed) {
+        peer->timer.cancel();
+        if (peer->closed) {
+          return;
+        }
+        if (failed) {
+          self->Failed(peer, endpoint);
+        } else {
+          self->Connected(peer, endpoint);
+        }
+      });
+}
+
+void OutboundMessages::Connected(const PeerPtr& peer,
+                                 const Endpoint& endpoint) {
+  peer->connecting = false;
+  peer->connected = true;
+  SetUnconfirmedTimeout(peer->socket, options_.unconfirmed_timeout);
+  {
+    const TimePoint oldest = Clock::now() - options_.max_wait;
+    std::scoped_lock lock(mutex_);
+    while (!peer->queue.empty() && peer->queue.front().since < oldest) {
+      TakeFront(*peer);
+    }
+  }
+  Watch(peer, endpoint);
+  WriteNext(peer, endpoint);
+}
+
+// Nothing comes back on an outbound connection but its end.
+void OutboundMessages::Watch(const PeerPtr& peer, const Endpoint& endpoint) {
+  peer->socket.async_read_some(
+      asio::buffer(&peer->probe, 1),
+      [self = shared_from_this(), peer, endpoint](error_code, size_t) {
+        if (!peer->closed && peer->connected) {
+          self->Failed(peer, endpoint);
+        }
+      });
+}
+
+void OutboundMessages::Failed(const PeerPtr& peer, const Endpoint& endpoint) {
+  const bool was_connected = std::exchange(peer->connected, false);
+  error_code ignored;
+  peer->socket.close(ignored);
+  peer->connecting = true;  // Until the next attempt.
+  peer->timer.expires_after(was_connected ? Duration::zero() : kReconnectDelay);
+  peer->timer.async_wait(
+      [self = shared_from_this(), peer, endpoint](error_code failed) {
+        peer->connecting = false;
+        if (failed || peer->closed) {
+          return;
+        }
+        bool wanted = false;
+        {
+          const TimePoint oldest = Clock::now() - self->options_.max_wait;
+          std::scoped_lock lock(self->mutex_);
+          wanted = !peer->queue.empty() && peer->queue.back().since > oldest;
+        }
+        if (wanted) {
+          self->Connect(peer, endpoint);
+        }
+      });
+}
+
+void OutboundMessages::WriteNext(const PeerPtr& peer,
+                                 const Endpoint& endpoint) {
+  if (peer->writing) {
+    return;
+  }
+  peer->out.clear();
+  {
+    std::scoped_lock lock(mutex_);
+    peer->in_flight = 0;
+    while (!peer->queue.empty() && peer->out.size() < kWriteBytes) {
+      peer->out += TakeFront(*peer);
+      ++peer->in_flight;
+    }
+  }
+  if (peer->out.empty()) {
+    std::string().swap(peer->out);
+    return;
+  }
+  peer->writing = true;
+  asio::async_write(
+      peer->socket, asio::buffer(peer->out),
+      [self = shared_from_this(), peer, endpoint](error_code failed, size_t) {
+        peer->writing = false;
+        {
+          std::scoped_lock lock(self->mutex_);
+          peer->in_flight = 0;
+        }
+        if (peer->closed || failed == asio::error::operation_aborted) {
+          return;
+        }
+        if (failed) {
+          if (peer->connected) {
+            self->Failed(peer, endpoint);
+          }
+        } else {
+          self->WriteNext(peer, endpoint);
+        }
+      });
+}
+
+}  // namespace limpethatch
--- /dev/null
+++ b/src/limpethatch/connection/internal/outbound_messages.h
@@ -0,0 +1,85 @@
+// The sending side of a messenger: a queue and a connection for each peer.
+#ifndef LIMPETHATCH_CONNECTION_INTERNAL_OUTBOUND_MESSAGES_H_
+#define LIMPETHATCH_CONNECTION_INTERNAL_OUTBOUND_MESSAGES_H_
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "limpethatch/connection/messenger_options.h"
+
+namespace limpethatch {
+
+// Send, Reset and the counters are safe from any thread; all else happens on
+// the thread of `io`.
+class OutboundMessages : public std::enable_shared_from_this<OutboundMessages> {
+ public:
+  OutboundMessages(boost::asio::io_context& io, MessengerOptions options);
+
+  void Send(const Endpoint& endpoint, std::string_view message);
+  void Reset(const Endpoint& endpoint);
+  // Only once nothing runs on `io` any more, or on its thread.
+  void CloseAll();
+
+  uint64_t bytes_sent() const { return bytes_sent_; }
+  size_t open_peers() const;
+
+ private:
+  struct Waiting {
+    std::string frame;
+    TimePoint since;
+  };
+  // Sockets are used on the thread of `io_` only; the queue and what describes
+  // it are guarded by `mutex_`.
+  struct Peer {
+    explicit Peer(boost::asio::io_context& context)
+        : socket(context), timer(context) {}
+
+    boost::asio::ip::tcp::socket socket;
+    boost::asio::steady_timer timer;
+    bool connecting = false;
+    bool connected = false;
+    bool writing = false;
+    bool closed = false;
+    std::string out;
+    char probe = 0;  // Read into, to notice the peer's end.
+    std::deque<Waiting> queue;
+    size_t queued_bytes = 0;
+    size_t in_flight = 0;  // Messages in `out`.
+    TimePoint last_used;
+  };
+  using PeerPtr = std::shared_ptr<Peer>;
+
+  PeerPtr PeerOf(const Endpoint& endpoint, TimePoint now);
+  void TakeIdle(TimePoint now, std::vector<PeerPtr>* idle);
+  void Queue(Peer& peer, std::string_view message, TimePoint now);
+  static std::string TakeFront(Peer& peer);
+  void Close(const PeerPtr& peer);
+  void Kick(const PeerPtr& peer, const Endpoint& endpoint);
+  void Connect(const PeerPtr& peer, const Endpoint& endpoint);
+  void Connected(const PeerPtr& peer, const Endpoint& endpoint);
+  void Watch(const PeerPtr& peer, const Endpoint& endpoint);
+  void Failed(const PeerPtr& peer, const Endpoint& endpoint);
+  void WriteNext(const PeerPtr& peer, const Endpoint& endpoint);
+
+  boost::asio::io_context& io_;
+  const MessengerOptions options_;
+  std::atomic<uint64_t> bytes_sent_{0};
+
+  mutable std::mutex mutex_;  // Guards what follows.
+  std::map<Endpoint, PeerPtr> peers_;
+  TimePoint last_sweep_;
+};
+
+}  // namespace limpethatch
+
+#endif  // LIMPETHATCH_CONNECTION_INTERNAL_OUTBOUND_MESSAGES_H_
--- a/src/limpethatch/connection/messenger.h
+++ b/src/limpethatch/connection/messenger.h
@@ -8,31 +8,14 @@
 #include <string>
 #include <string_view>
 
-#include "limpethatch/process/clock.h"
+#include "limpethatch/connection/messenger_options.h"
 #include "limpethatch/process/endpoint.h"
 #include "limpethatch/process/result.h"
 
 namespace limpethatch {
 
-struct MessengerOptions {
-  AddressTranslation translation = {};
-  // A larger message is refused when sent and dropped when received.
-  size_t max_message_bytes = size_t{16} * 1024 * 1024;
-  // Messages that wait for one peer; further ones are dropped.
-  int max_queued_per_peer = 256;
-  // A connection that has carried nothing for this long is closed.
-  Duration max_idle_time = std::chrono::seconds(60);
-  // A peer that does not take a connection for so long is tried anew: its
-  // machine may have had no power when it was asked. Many round trips within a
-  // region.
-  Duration connect_timeout = std::chrono::milliseconds(200);
-  // Bytes that the peer's machine has not confirmed for so long end their
-  // connection: it is partitioned, or something between lost track of it.
-  Duration unconfirmed_timeout = std::chrono::milliseconds(1500);
-  // Messages that waited longer for a connection are dropped: who sent them
-  // has given up on an answer by then.
-  Duration max_wait = std::chrono::seconds(1);
-};
+class InboundMessages;
+class OutboundMessages;
 
 // Datagrams over TCP: a message arrives whole, once at most, or not at all.
 // There is no answer and no order promised across reconnects; callers put
@@ -75,9 +58,13 @@
   size_t open_peers() const;
 
  private:
-  struct State;
+  struct OwnThread;
 
-  std::shared_ptr<State> state_;
+  // Declared first, so that it outlives all sockets; null on an `io` of others.
+  std::unique_ptr<OwnThread> own_;
+  std::shared_ptr<OutboundMessages> outbound_;
+  std::shared_ptr<InboundMessages> inbound_;
+  bool stopped_receiving_ = false;
 };
 
 }  // namespace limpethatch
--- /dev/null
+++ b/src/limpethatch/connection/read_pacer.cc
@@ -0,0 +1,27 @@
+#include "limpethatch/connection/read_pacer.h"
+
+#include <algorithm>
+
+namespace limpethatch {
+
+Duration ReadPacer::RoundOf(size_t streams) {
+  const Duration round =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          static_cast<double>(streams) / kReadsPerSecond));
+  return round < kShortestRound ? Duration::zero()
+                                : std::min(round, kLongestRound);
+}
+
+void ReadPacer::Pause(Yield yield, size_t streams) {
+  const Duration round = RoundOf(streams);
+  if (round == Duration::zero()) {
+    return;
+  }
+  if (round_.expiry() <= Clock::now()) {
+    round_.expires_after(round);
+  }
+  boost::system::error_code ignored;  // It is never cancelled.
+  round_.async_wait(yield[ignored]);
+}
+
+}  // namespace limpethatch
--- a/src/limpethatch/process/compression.cc
+++ b/src/limpethatch/process/compression.cc
@@ -1,14 +1,16 @@
 #include "limpethatch/process/compression.h"
 
 #include <zlib.h>
+#include <zstd.h>
 
 #include <boost/endian/conversion.hpp>
 
 namespace limpethatch {
 namespace {
 
-// Field number 0 does not exist, so no message begins with this byte.
-constexpr char kMarker = 0;
+// Field number 0 does not exist, so no message begins with these bytes.
+constexpr char kZlibMarker = 0;  // Of earlier releases; read only.
+constexpr char kZstdMarker = 1;
 // Behind the marker: the length of the command, big endian.
 constexpr size_t kHeaderBytes = 1 + sizeof(uint32_t);
 // No command is longer; guards against a damaged length.
@@ -17,21 +19,35 @@
 // repeats itself: the fast level does nearly as well as the best.
 constexpr int kLevel = 1;
 
+size_t UnpackZlib(std::string_view packed, std::string* command) {
+  uLongf length = command->size();
+  const int error =
+      uncompress(reinterpret_cast<Bytef*>(command->data()), &length,
+                 reinterpret_cast<const Bytef*>(packed.data()), packed.size());
+  return error == Z_OK ? length : 0;
+}
+
+size_t UnpackZstd(std::string_view packed, std::string* command) {
+  const size_t length = ZSTD_decompress(command->data(), command->size(),
+                                        packed.data(), packed.size());
+  return ZSTD_isError(length) ? 0 : length;
+}
+
 }  // namespace
 
 std::string CompressCommand(std::string command) {
   if (command.size() < kLeastCompressedBytes) {
     return command;
   }
-  uLongf length = compressBound(command.size());
-  std::string stored(kHeaderBytes + length, kMarker);
+  std::string stored(kHeaderBytes + ZSTD_compressBound(command.size()),
+                     kZstdMarker);
   boost::endian::store_big_u32(
       reinterpret_cast<unsigned char*>(stored.data()) + 1,
       static_cast<uint32_t>(command.size()));
-  const int error = compress2(
-      reinterpret_cast<Bytef*>(stored.data()) + kHeaderBytes, &length,
-      reinterpret_cast<const Bytef*>(command.data()), command.size(), kLevel);
-  if (error != Z_OK || kHeaderBytes + length >= command.size()) {
+  const size_t length =
+      ZSTD_compress(stored.data() + kHeaderBytes, stored.size() - kHeaderBytes,
+                    command.data(), command.size(), kLevel);
+  if (ZSTD_isError(length) || kHeaderBytes + length >= command.size()) {
     return command;
   }
   stored.resize(kHeaderBytes + length);
@@ -40,23 +56,24 @@
 }
 
 std::optional<std::string> DecompressCommand(std::string_view stored) {
-  if (stored.empty() || stored.front() != kMarker) {
+  if (stored.empty() || static_cast<unsigned char>(stored.front()) >
+                            static_cast<unsigned char>(kZstdMarker)) {
     return std::string(stored);
   }
   if (stored.size() < kHeaderBytes) {
     return std::nullopt;
   }
-  uLongf length = boost::endian::load_big_u32(
+  const size_t length = boost::endian::load_big_u32(
       reinterpret_cast<const unsigned char*>(stored.data()) + 1);
   if (length > kMaxCommandBytes) {
     return std::nullopt;
   }
   std::string command(length, '\0');
-  const int error =
-      uncompress(reinterpret_cast<Bytef*>(command.data()), &length,
-                 reinterpret_cast<const Bytef*>(stored.data()) + kHeaderBytes,
-                 stored.size() - kHeaderBytes);
-  if (error != Z_OK || length != command.size()) {
+  const std::string_view packed = stored.substr(kHeaderBytes);
+  const size_t unpacked = stored.front() == kZlibMarker
+                              ? UnpackZlib(packed, &command)
+                              : UnpackZstd(packed, &command);
+  if (unpacked != command.size()) {
     return std::nullopt;
   }
   return command;
--- a/src/limpethatch/process/consensus.cc
+++ b/src/limpethatch/process/consensus.cc
@@ -119,14 +119,14 @@
   }
 }
 
-void Consensus::Compact(uint64_t index, std::string state) {
+void Consensus::Compact(uint64_t index, ByteRope state) {
   if (compacting() || index <= log_.snapshot_index() || index > applied_) {
     return;
   }
   snapshot_to_install_ = SnapshotOf(index, std::move(state));
 }
 
-void Consensus::ProvideState(uint64_t index, std::string state) {
+void Consensus::ProvideState(uint64_t index, ByteRope state) {
   state_wanted_ = false;
   if (!leading() || index != applied_ || index < log_.snapshot_index()) {
     return;
@@ -138,22 +138,20 @@
   }
 }
 
-std::shared_ptr<wire::SnapshotRecord> Consensus::SnapshotOf(
-    uint64_t index,
-    std::string state) const {
-  auto snapshot = std::make_shared<wire::SnapshotRecord>();
-  snapshot->set_index(index);
-  snapshot->set_term(*log_.TermAt(index));
+SharedSnapshot Consensus::SnapshotOf(uint64_t index, ByteRope state) const {
+  auto snapshot = std::make_shared<StateSnapshot>();
+  snapshot->index = index;
+  snapshot->term = *log_.TermAt(index);
   // Members of entries behind the snapshot stay in those entries.
   for (uint64_t i = log_.snapshot_index() + 1; i <= index; ++i) {
     if (log_.At(i).has_members()) {
-      *snapshot->mutable_members() = log_.At(i).members();
+      snapshot->members = log_.At(i).members();
     }
   }
-  if (!snapshot->has_members() && log_.snapshot()) {
-    *snapshot->mutable_members() = log_.snapshot()->members();
+  if (!snapshot->members && log_.snapshot()) {
+    snapshot->members = log_.snapshot()->members;
   }
-  snapshot->set_state(std::move(state));
+  snapshot->state = std::move(state);
   return snapshot;
 }
 
@@ -161,7 +159,7 @@
   if (!snapshot_to_install_) {
     return;
   }
-  const uint64_t index = snapshot_to_install_->index();
+  const uint64_t index = snapshot_to_install_->index;
   // A peer that follows closely shall not need the whole snapshot.
   const TimePoint alive = now - options_.election_timeout;
   for (const auto& [id, peer] : progress_) {
@@ -232,7 +230,7 @@
 
 void Consensus::TakeApplies(std::vector<ConsensusAction>* actions) {
   if (snapshot_to_restore_) {
-    applied_ = snapshot_to_restore_->index();
+    applied_ = snapshot_to_restore_->index;
     actions->push_back(
         RestoreAction{std::exchange(snapshot_to_restore_, nullptr)});
     if (snapshot_sequence_ == 0) {
--- a/src/limpethatch/process/consensus.h
+++ b/src/limpethatch/process/consensus.h
@@ -75,10 +75,10 @@
   void Persisted(uint64_t sequence, TimePoint now);
   // The state machine's state after `index`, which must have been applied.
   // Peers that follow closely are waited for before the log is cut.
-  void Compact(uint64_t index, std::string state);
+  void Compact(uint64_t index, ByteRope state);
   // Answers a NeedStateAction with the state after `index`, the last that was
   // applied.
-  void ProvideState(uint64_t index, std::string state);
+  void ProvideState(uint64_t index, ByteRope state);
   // A state handed to Compact is not in place yet; another would be ignored.
   bool compacting() const { return snapshot_to_install_ != nullptr; }
 
@@ -156,8 +156,7 @@
   void SendAppend(const std::string& to, TimePoint now);
   void SendHeartbeat(const std::string& to, TimePoint now);
   void SendSnapshotChunk(const std::string& to, TimePoint now);
-  std::shared_ptr<wire::SnapshotRecord> SnapshotOf(uint64_t index,
-                                                   std::string state) const;
+  SharedSnapshot SnapshotOf(uint64_t index, ByteRope state) const;
   void OnAppend(const wire::ConsensusMessage& message, TimePoint now);
   void TakeEntries(const wire::Append& append);
   void OnAppendReply(const wire::ConsensusMessage& message, TimePoint now);
@@ -223,7 +222,7 @@
   uint64_t known_members_index_ = 0;
 
   uint64_t incoming_index_ = 0;  // Of the snapshot being received.
-  std::string incoming_state_;
+  ByteRope incoming_state_;
 
   bool hard_state_dirty_ = false;
   bool commit_due_ = false;    // Only the commit index is worth a sync.
--- a/src/limpethatch/process/consensus_replication.cc
+++ b/src/limpethatch/process/consensus_replication.cc
@@ -88,24 +88,23 @@
 }
 
 void Consensus::SendSnapshotChunk(const std::string& to, TimePoint now) {
-  if (!snapshot_to_send_ ||
-      snapshot_to_send_->index() < log_.snapshot_index()) {
+  if (!snapshot_to_send_ || snapshot_to_send_->index < log_.snapshot_index()) {
     state_wanted_ = true;
     return;
   }
   Progress& peer = progress_[to];
-  const wire::SnapshotRecord& snapshot = *snapshot_to_send_;
+  const StateSnapshot& snapshot = *snapshot_to_send_;
   wire::ConsensusMessage message = NewMessage();
   wire::SnapshotChunk& chunk = *message.mutable_snapshot_chunk();
-  chunk.set_index(snapshot.index());
-  chunk.set_term(snapshot.term());
-  *chunk.mutable_members() = snapshot.members();
+  chunk.set_index(snapshot.index);
+  chunk.set_term(snapshot.term);
+  *chunk.mutable_members() = snapshot.members.value_or(wire::Members());
   peer.snapshot_offset =
-      std::min<uint64_t>(peer.snapshot_offset, snapshot.state().size());
+      std::min<uint64_t>(peer.snapshot_offset, snapshot.state.size());
   chunk.set_offset(peer.snapshot_offset);
-  chunk.set_total(snapshot.state().size());
-  chunk.set_data(snapshot.state().substr(peer.snapshot_offset,
-                                         options_.snapshot_chunk_bytes));
+  chunk.set_total(snapshot.state.size());
+  chunk.set_data(snapshot.state.Substr(peer.snapshot_offset,
+                                       options_.snapshot_chunk_bytes));
   chunk.set_sent_at(ToWire(now));
   peer.chunk_sent_at = now;
   Send(to, std::move(message));
@@ -245,10 +244,10 @@
   }
   if (incoming_index_ != chunk.index()) {
     incoming_index_ = chunk.index();
-    incoming_state_.clear();
+    incoming_state_ = {};
   }
   if (chunk.offset() == incoming_state_.size()) {
-    incoming_state_ += chunk.data();
+    incoming_state_.Append(chunk.data());
   }
   wire::ConsensusMessage reply = NewMessage();
   reply.mutable_snapshot_reply()->set_index(chunk.index());
@@ -261,12 +260,9 @@
 }
 
 void Consensus::FinishSnapshot(const wire::SnapshotChunk& chunk) {
-  auto snapshot = std::make_shared<wire::SnapshotRecord>();
-  snapshot->set_index(chunk.index());
-  snapshot->set_term(chunk.term());
-  *snapshot->mutable_members() = chunk.members();
-  snapshot->set_state(std::move(incoming_state_));
-  incoming_state_.clear();
+  auto snapshot = std::make_shared<StateSnapshot>(
+      StateSnapshot{chunk.index(), chunk.term(), chunk.members(),
+                    std::exchange(incoming_state_, {})});
   incoming_index_ = 0;
   const bool kept = log_.TermAt(chunk.index()) == chunk.term();
   log_.Install(snapshot);
@@ -290,12 +286,12 @@
   const wire::SnapshotReply& reply = message.snapshot_reply();
   peer->lease_from =
       std::max(peer->lease_from, TimePoint(Duration(reply.sent_at())));
-  if (reply.index() != snapshot_to_send_->index()) {
+  if (reply.index() != snapshot_to_send_->index) {
     return;
   }
   peer->snapshot_offset = reply.next_offset();
   peer->chunk_sent_at.reset();
-  if (reply.next_offset() >= snapshot_to_send_->state().size()) {
+  if (reply.next_offset() >= snapshot_to_send_->state.size()) {
     peer->next = std::max(peer->next, reply.index() + 1);
   } else {
     SendSnapshotChunk(message.from(), now);
--- a/src/limpethatch/process/disk.cc
+++ b/src/limpethatch/process/disk.cc
@@ -102,7 +102,7 @@
 }
 
 std::error_code FolderDisk::Replace(const std::string& name,
-                                    std::string_view bytes) {
+                                    const ByteRope& contents) {
   if (name == appending_name_) {
     CloseAppending();
   }
@@ -112,8 +112,10 @@
     if (file.get() < 0) {
       return LastError();
     }
-    if (std::error_code error = WriteAll(file.get(), bytes)) {
-      return error;
+    for (const ByteRope::Piece& piece : contents.pieces()) {
+      if (std::error_code error = WriteAll(file.get(), *piece)) {
+        return error;
+      }
     }
     if (fsync(file.get()) != 0) {
       return LastError();
--- a/src/limpethatch/process/disk.h
+++ b/src/limpethatch/process/disk.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <system_error>
 
+#include "limpethatch/process/byte_rope.h"
 #include "limpethatch/process/result.h"
 
 namespace limpethatch {
@@ -15,11 +16,12 @@
 template <typename D>
 concept Disk = requires(D disk,
                         const std::string& name,
+                        const ByteRope& contents,
                         std::string_view bytes) {
   // The whole file; std::errc::no_such_file_or_directory if absent.
   { disk.Read(name) } -> std::same_as<Result<std::string>>;
   // Atomic and synced: afterwards the file is the old or the new one.
-  { disk.Replace(name, bytes) } -> std::same_as<std::error_code>;
+  { disk.Replace(name, contents) } -> std::same_as<std::error_code>;
   // Lasts only once Sync has returned without an error.
   { disk.Append(name, bytes) } -> std::same_as<std::error_code>;
   { disk.Sync(name) } -> std::same_as<std::error_code>;
@@ -40,7 +42,7 @@
   std::error_code Open();
 
   Result<std::string> Read(const std::string& name);
-  std::error_code Replace(const std::string& name, std::string_view bytes);
+  std::error_code Replace(const std::string& name, const ByteRope& contents);
   std::error_code Append(const std::string& name, std::string_view bytes);
   std::error_code Sync(const std::string& name);
   std::error_code SetAside(const std::string& name);
--- a/src/limpethatch/process/durable_log.cc
+++ b/src/limpethatch/process/durable_log.cc
@@ -12,8 +12,15 @@
       !contents.records.front().has_snapshot()) {
     return make_error_code(StorageError::kCorrupt);
   }
-  return SharedSnapshot(std::make_shared<wire::SnapshotRecord>(
-      std::move(*contents.records.front().mutable_snapshot())));
+  wire::SnapshotRecord& record = *contents.records.front().mutable_snapshot();
+  auto snapshot = std::make_shared<StateSnapshot>();
+  snapshot->index = record.index();
+  snapshot->term = record.term();
+  if (record.has_members()) {
+    snapshot->members = std::move(*record.mutable_members());
+  }
+  snapshot->state.Append(std::move(*record.mutable_state()));
+  return SharedSnapshot(std::move(snapshot));
 }
 
 // Puts an entry where it belongs; false if one is missing before it.
@@ -34,10 +41,9 @@
 
 // A log that still has to be cut after a snapshot of another history starts
 // over: its entries before the snapshot do not lead to it.
-bool Contradicts(const wire::SnapshotRecord* snapshot,
-                 const wire::LogEntry& entry) {
-  return snapshot && entry.index() == snapshot->index() &&
-         entry.term() != snapshot->term();
+bool Contradicts(const StateSnapshot* snapshot, const wire::LogEntry& entry) {
+  return snapshot && entry.index() == snapshot->index &&
+         entry.term() != snapshot->term;
 }
 
 }  // namespace
@@ -64,8 +70,8 @@
   if (contents.records.front().header().format() > kLogFormat) {
     return make_error_code(StorageError::kUnknownFormat);
   }
-  const wire::SnapshotRecord* base = found.state.snapshot.get();
-  const uint64_t base_index = base ? base->index() : 0;
+  const StateSnapshot* base = found.state.snapshot.get();
+  const uint64_t base_index = base ? base->index : 0;
   if (base_index < contents.records.front().header().snapshot_index()) {
     return make_error_code(StorageError::kCorrupt);
   }
--- a/src/limpethatch/process/durable_log.h
+++ b/src/limpethatch/process/durable_log.h
@@ -150,7 +150,7 @@
       return AppendRecords(records);
     }
     const uint64_t base =
-        found.state.snapshot ? found.state.snapshot->index() : 0;
+        found.state.snapshot ? found.state.snapshot->index : 0;
     return ReplaceLog(found.state.hard_state, base, found.state.entries);
   }
 
@@ -166,7 +166,7 @@
             kSnapshotFile, EncodeSnapshotFrame(*persist.snapshot))) {
       return error;
     }
-    return ReplaceLog(persist.hard_state, persist.snapshot->index(),
+    return ReplaceLog(persist.hard_state, persist.snapshot->index,
                       persist.entries);
   }
 
--- a/src/limpethatch/process/log_record.cc
+++ b/src/limpethatch/process/log_record.cc
@@ -3,6 +3,8 @@
 #include <google/protobuf/io/coded_stream.h>
 #include <google/protobuf/io/zero_copy_stream_impl_lite.h>
 #include <google/protobuf/util/delimited_message_util.h>
+#include <google/protobuf/wire_format_lite.h>
+#define XXH_STATIC_LINKING_ONLY  // For a hash state on the stack.
 #include <xxhash.h>
 
 #include <algorithm>
@@ -50,15 +52,18 @@
   return value;
 }
 
-// Fills in the header of a frame whose body stands behind it.
-void FillHeader(std::string* frame) {
-  const std::string_view body = std::string_view(*frame).substr(kHeaderBytes);
+std::string HeaderOf(const ByteRope& body) {
   std::string header;
   Put(&header, kMagic);
   Put(&header, static_cast<uint32_t>(body.size()));
   Put(&header, XXH3_64bits(header.data(), kPrefixBytes));
-  Put(&header, XXH3_64bits(body.data(), body.size()));
-  frame->replace(0, kHeaderBytes, header);
+  XXH3_state_t state;
+  XXH3_64bits_reset(&state);
+  for (const ByteRope::Piece& piece : body.pieces()) {
+    XXH3_64bits_update(&state, piece->data(), piece->size());
+  }
+  Put(&header, XXH3_64bits_digest(&state));
+  return header;
 }
 
 // The body's length if a whole and undamaged header stands at the start.
@@ -133,32 +138,57 @@
 }
 
 std::string EncodeFrame(const std::vector<wire::LogRecord>& records) {
-  std::string frame(kHeaderBytes, '\0');
+  std::string body;
   {
-    google::protobuf::io::StringOutputStream stream(&frame);
+    google::protobuf::io::StringOutputStream stream(&body);
     for (const wire::LogRecord& record : records) {
       google::protobuf::util::SerializeDelimitedToZeroCopyStream(record,
                                                                  &stream);
     }
   }
-  FillHeader(&frame);
-  return frame;
+  ByteRope frame(std::move(body));
+  const std::string header = HeaderOf(frame);
+  return header + *frame.pieces().front();
 }
 
-std::string EncodeSnapshotFrame(const wire::SnapshotRecord& snapshot) {
-  // Lends the snapshot, which can be large, to a record instead of copying it.
-  wire::LogRecord record;
-  record.unsafe_arena_set_allocated_snapshot(
-      const_cast<wire::SnapshotRecord*>(&snapshot));
-  std::string frame(kHeaderBytes, '\0');
-  frame.reserve(kHeaderBytes + kPrefixBytes + record.ByteSizeLong() +
-                kPrefixBytes);
+ByteRope EncodeSnapshotFrame(const StateSnapshot& snapshot) {
+  using google::protobuf::internal::WireFormatLite;
+  // The state is the last field: what precedes it is written by hand.
+  wire::SnapshotRecord record;
+  record.set_index(snapshot.index);
+  record.set_term(snapshot.term);
+  if (snapshot.members) {
+    *record.mutable_members() = *snapshot.members;
+  }
+  const auto bytes_tag =
+      WireFormatLite::MakeTag(wire::SnapshotRecord::kStateFieldNumber,
+                              WireFormatLite::WIRETYPE_LENGTH_DELIMITED);
+  const auto record_tag =
+      WireFormatLite::MakeTag(wire::LogRecord::kSnapshotFieldNumber,
+                              WireFormatLite::WIRETYPE_LENGTH_DELIMITED);
+  using google::protobuf::io::CodedOutputStream;
+  const size_t record_bytes =
+      record.ByteSizeLong() + CodedOutputStream::VarintSize32(bytes_tag) +
+      CodedOutputStream::VarintSize64(snapshot.state.size()) +
+      snapshot.state.size();
+  const size_t log_record_bytes =
+      CodedOutputStream::VarintSize32(record_tag) +
+      CodedOutputStream::VarintSize64(record_bytes) + record_bytes;
+  std::string front;
   {
-    google::protobuf::io::StringOutputStream stream(&frame);
-    google::protobuf::util::SerializeDelimitedToZeroCopyStream(record, &stream);
+    google::protobuf::io::StringOutputStream stream(&front);
+    CodedOutputStream out(&stream);
+    out.WriteVarint64(log_record_bytes);
+    out.WriteTag(record_tag);
+    out.WriteVarint64(record_bytes);
+    record.SerializeToCodedStream(&out);
+    out.WriteTag(bytes_tag);
+    out.WriteVarint64(snapshot.state.size());
   }
-  record.unsafe_arena_release_snapshot();
-  FillHeader(&frame);
+  ByteRope body(std::move(front));
+  body.Append(snapshot.state);
+  ByteRope frame(HeaderOf(body));
+  frame.Append(body);
   return frame;
 }
 
--- a/src/limpethatch/process/log_record.h
+++ b/src/limpethatch/process/log_record.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "consensus.pb.h"
+#include "limpethatch/process/state_snapshot.h"
 
 namespace limpethatch {
 
@@ -45,8 +46,9 @@
 
 // One frame that holds `records`.
 std::string EncodeFrame(const std::vector<wire::LogRecord>& records);
-// As above, of one record that holds the snapshot.
-std::string EncodeSnapshotFrame(const wire::SnapshotRecord& snapshot);
+// As above, of one record that holds the snapshot. Shares the pieces of its
+// state, which can be large.
+ByteRope EncodeSnapshotFrame(const StateSnapshot& snapshot);
 
 // Reads all frames up to the first that is not whole.
 LogContents DecodeFrames(std::string_view bytes);
--- a/src/limpethatch/process/member_planner.cc
+++ b/src/limpethatch/process/member_planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 
 namespace limpethatch {
 namespace {
@@ -40,9 +41,10 @@
 // Of more voters than wanted, the one to remove.
 ReplicaPtr Surplus(const std::vector<KnownReplica>& replicas) {
   const auto voters = VotersByZone(replicas);
+  // The leader last of its zone: its work has to be taken up by another.
   const auto rank = [&](const KnownReplica& replica) {
-    return std::pair(replica.silent * 2 + replica.retired,
-                     voters.at(replica.zone));
+    return std::tuple(replica.silent * 2 + replica.retired,
+                      voters.at(replica.zone), !replica.leads);
   };
   ReplicaPtr worst = nullptr;
   for (const KnownReplica& replica : replicas) {
--- a/src/limpethatch/process/member_planner.h
+++ b/src/limpethatch/process/member_planner.h
@@ -20,6 +20,7 @@
   bool member = false;
   bool votes = false;    // A member whose disk counts.
   bool retired = false;  // To be emptied.
+  bool leads = false;
 };
 
 struct MemberChange {
--- a/src/limpethatch/process/replicated_log.cc
+++ b/src/limpethatch/process/replicated_log.cc
@@ -16,12 +16,12 @@
 }
 
 uint64_t ReplicatedLog::snapshot_index() const {
-  return snapshot_ ? snapshot_->index() : 0;
+  return snapshot_ ? snapshot_->index : 0;
 }
 
 std::optional<uint64_t> ReplicatedLog::TermAt(uint64_t index) const {
   if (index == snapshot_index()) {
-    return snapshot_ ? snapshot_->term() : 0;
+    return snapshot_ ? snapshot_->term : 0;
   }
   if (index < snapshot_index() || index > last_index()) {
     return std::nullopt;
@@ -62,21 +62,16 @@
 }
 
 void ReplicatedLog::DropSnapshotState() {
-  if (!snapshot_ || snapshot_->state().empty()) {
+  if (!snapshot_ || snapshot_->state.empty()) {
     return;
   }
-  auto light = std::make_shared<wire::SnapshotRecord>();
-  light->set_index(snapshot_->index());
-  light->set_term(snapshot_->term());
-  if (snapshot_->has_members()) {
-    *light->mutable_members() = snapshot_->members();
-  }
-  snapshot_ = std::move(light);
+  snapshot_ = std::make_shared<StateSnapshot>(
+      StateSnapshot{snapshot_->index, snapshot_->term, snapshot_->members, {}});
 }
 
 void ReplicatedLog::Install(SharedSnapshot snapshot) {
-  if (TermAt(snapshot->index()) == snapshot->term()) {
-    for (uint64_t covered = snapshot->index() - snapshot_index(); covered > 0;
+  if (TermAt(snapshot->index) == snapshot->term) {
+    for (uint64_t covered = snapshot->index - snapshot_index(); covered > 0;
          --covered) {
       command_bytes_ -= entries_.front().command().size();
       entries_.pop_front();
@@ -86,9 +81,9 @@
     command_bytes_ = 0;
     members_.clear();
   }
-  members_.erase(members_.begin(), members_.upper_bound(snapshot->index()));
-  if (snapshot->has_members()) {
-    members_[snapshot->index()] = snapshot->members();
+  members_.erase(members_.begin(), members_.upper_bound(snapshot->index));
+  if (snapshot->members) {
+    members_[snapshot->index] = *snapshot->members;
   }
   snapshot_ = std::move(snapshot);
 }
--- a/src/limpethatch/process/replicated_log.h
+++ b/src/limpethatch/process/replicated_log.h
@@ -10,11 +10,10 @@
 #include <vector>
 
 #include "consensus.pb.h"
+#include "limpethatch/process/state_snapshot.h"
 
 namespace limpethatch {
 
-using SharedSnapshot = std::shared_ptr<const wire::SnapshotRecord>;
-
 // Entries behind a snapshot. Indexes start at 1 and have no gap.
 class ReplicatedLog {
  public:
--- a/src/limpethatch/request/ledgers.cc
+++ b/src/limpethatch/request/ledgers.cc
@@ -1,10 +1,74 @@
 #include "limpethatch/request/ledgers.h"
 
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+#include <google/protobuf/wire_format_lite.h>
+
+#include <limits>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
 #include "limpethatch/version/manifest_impact.h"
 #include "limpethatch/version/manifest_reader.h"
 #include "state.pb.h"
 
 namespace limpethatch {
+namespace {
+
+using google::protobuf::internal::WireFormatLite;
+
+constexpr uint32_t kFleetTag = GOOGLE_PROTOBUF_WIRE_FORMAT_MAKE_TAG(
+    wire::LedgersSnapshot::kFleetFieldNumber,
+    WireFormatLite::WIRETYPE_LENGTH_DELIMITED);
+
+struct SnapshotParts {
+  std::vector<ByteRope::Piece> fleet;
+  std::string others;  // A LedgersSnapshot of all the other fields.
+};
+
+// Takes a serialised LedgersSnapshot apart; nothing if it can't be read.
+std::optional<SnapshotParts> PartsOf(const ByteRope& state) {
+  using namespace google::protobuf::io;  // NOLINT
+  std::vector<std::unique_ptr<ArrayInputStream>> pieces;
+  std::vector<ZeroCopyInputStream*> streams;
+  for (const ByteRope::Piece& piece : state.pieces()) {
+    pieces.push_back(std::make_unique<ArrayInputStream>(
+        piece->data(), static_cast<int>(piece->size())));
+    streams.push_back(pieces.back().get());
+  }
+  ConcatenatingInputStream all(streams.data(),
+                               static_cast<int>(streams.size()));
+  CodedInputStream in(&all);
+  in.SetTotalBytesLimit(std::numeric_limits<int>::max());
+  SnapshotParts parts;
+  StringOutputStream others(&parts.others);
+  CodedOutputStream others_out(&others);
+  while (const uint32_t tag = in.ReadTag()) {
+    if (tag != kFleetTag) {
+      if (!WireFormatLite::SkipField(&in, tag, &others_out)) {
+        return std::nullopt;
+      }
+      continue;
+    }
+    uint32_t length = 0;
+    std::string part;
+    if (!in.ReadVarint32(&length) ||
+        !in.ReadString(&part, static_cast<int>(length))) {
+      return std::nullopt;
+    }
+    parts.fleet.push_back(std::make_shared<const std::string>(std::move(part)));
+  }
+  if (!in.ConsumedEntireMessage()) {
+    return std::nullopt;
+  }
+  others_out.Trim();
+  return parts;
+}
+
+}  // namespace
 
 std::string Ledgers::Apply(uint64_t, std::string_view command) {
   wire::Command parsed;
@@ -115,7 +179,7 @@
   return versions;
 }
 
-std::string Ledgers::Snapshot() const {
+ByteRope Ledgers::Snapshot() const {
   wire::LedgersSnapshot snapshot;
   *snapshot.mutable_manifest() = manifest_.Snapshot();
   *snapshot.mutable_claims() = claims_.Snapshot();
@@ -126,26 +190,35 @@
   for (const std::string& holder : gone_.holders()) {
     snapshot.add_gone(holder);
   }
-  std::string bytes = snapshot.SerializeAsString();
-  // Messages that stand one after the other are read as one: so that the state
-  // is never held twice as a whole.
-  fleet_.ForEachPart([&bytes](wire::FleetSnapshot part) {
-    wire::LedgersSnapshot piece;
-    *piece.mutable_fleet() = std::move(part);
-    piece.AppendToString(&bytes);
-  });
-  return bytes;
+  ByteRope state(snapshot.SerializeAsString());
+  // Fields of a message may stand in pieces, one after the other, so that the
+  // state is never held twice as a whole.
+  for (const ByteRope::Piece& part : fleet_.Snapshot()) {
+    std::string front;
+    {
+      google::protobuf::io::StringOutputStream stream(&front);
+      google::protobuf::io::CodedOutputStream out(&stream);
+      out.WriteTag(kFleetTag);
+      out.WriteVarint64(part->size());
+    }
+    state.Append(std::move(front));
+    state.Append(part);
+  }
+  return state;
 }
 
-bool Ledgers::Restore(std::string_view bytes) {
+bool Ledgers::Restore(const ByteRope& state) {
+  std::optional<SnapshotParts> parts = PartsOf(state);
   wire::LedgersSnapshot snapshot;
-  if (!snapshot.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+  FleetLedger fleet;
+  if (!parts || !snapshot.ParseFromString(parts->others) ||
+      !fleet.Restore(parts->fleet)) {
     return false;
   }
+  fleet_ = std::move(fleet);
   manifest_.Restore(snapshot.manifest());
   claims_.Restore(snapshot.claims());
   steps_.Restore(snapshot.steps());
-  fleet_.Restore(snapshot.fleet());
   step_names_.clear();
   for (const wire::StepSnapshot& step : snapshot.steps().steps()) {
     step_names_.emplace(step.open().trainer(), step.open().step());
--- a/src/limpethatch/request/ledgers.h
+++ b/src/limpethatch/request/ledgers.h
@@ -32,8 +32,8 @@
   // Takes a wire::Command and returns a wire::CommandResult, both serialised.
   // A command that can't be read changes nothing; its result is empty.
   std::string Apply(uint64_t index, std::string_view command);
-  std::string Snapshot() const;
-  bool Restore(std::string_view bytes);
+  ByteRope Snapshot() const;
+  bool Restore(const ByteRope& state);
 
   wire::CommandResult Apply(const wire::Command& command);
 
--- a/src/limpethatch/version/fleet_ledger.cc
+++ b/src/limpethatch/version/fleet_ledger.cc
@@ -54,16 +54,7 @@
   return outcome;
 }
 
-wire::FleetSnapshot FleetLedger::Snapshot() const {
-  wire::FleetSnapshot snapshot;
-  ForEachPart([&snapshot](const wire::FleetSnapshot& part) {
-    snapshot.MergeFrom(part);
-  });
-  return snapshot;
-}
-
-void FleetLedger::ForEachPart(
-    const std::function<void(wire::FleetSnapshot part)>& visit) const {
+std::vector<ByteRope::Piece> FleetLedger::Snapshot() const {
   wire::FleetSnapshot snapshot;
   *snapshot.mutable_configuration() = configuration_;
   for (const auto& [model, version] : weights_) {
@@ -74,22 +65,32 @@
   for (const std::string& id : retired_) {
     snapshot.add_retired(id);
   }
-  visit(std::move(snapshot));
+  std::vector<ByteRope::Piece> parts;
+  parts.push_back(
+      std::make_shared<const std::string>(snapshot.SerializeAsString()));
   for (const std::string& id : jobs_.order()) {
-    wire::FleetSnapshot part;
-    jobs_.Save(id, &part);
-    visit(std::move(part));
+    parts.push_back(jobs_.Packed(id));
   }
+  return parts;
 }
 
-void FleetLedger::Restore(const wire::FleetSnapshot& snapshot) {
-  configuration_ = snapshot.configuration();
-  weights_.clear();
-  for (const wire::WeightsNamed& named : snapshot.weights()) {
-    weights_[named.model()] = named.version();
+bool FleetLedger::Restore(const std::vector<ByteRope::Piece>& parts) {
+  *this = FleetLedger();
+  for (const ByteRope::Piece& part : parts) {
+    wire::FleetSnapshot snapshot;
+    if (!snapshot.ParseFromString(*part)) {
+      return false;
+    }
+    if (snapshot.has_configuration()) {
+      configuration_ = snapshot.configuration();
+    }
+    for (const wire::WeightsNamed& named : snapshot.weights()) {
+      weights_[named.model()] = named.version();
+    }
+    retired_.insert(snapshot.retired().begin(), snapshot.retired().end());
+    jobs_.Add(snapshot);
   }
-  retired_ = {snapshot.retired().begin(), snapshot.retired().end()};
-  jobs_.Load(snapshot);
+  return true;
 }
 
 }  // namespace limpethatch
--- a/src/limpethatch/version/fleet_ledger.h
+++ b/src/limpethatch/version/fleet_ledger.h
@@ -4,10 +4,10 @@
 #define LIMPETHATCH_VERSION_FLEET_LEDGER_H_
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "ledger.pb.h"
 #include "limpethatch/version/job_ledger.h"
@@ -28,11 +28,11 @@
   const JobLedger& jobs() const { return jobs_; }
   const std::set<std::string>& retired() const { return retired_; }
 
-  wire::FleetSnapshot Snapshot() const;
-  // The snapshot in parts, to be merged in this order.
-  void ForEachPart(
-      const std::function<void(wire::FleetSnapshot part)>& visit) const;
-  void Restore(const wire::FleetSnapshot& snapshot);
+  // All state as serialised wire::FleetSnapshot messages, to be merged in this
+  // order.
+  std::vector<ByteRope::Piece> Snapshot() const;
+  // False if a part can't be read; the state is then undefined.
+  bool Restore(const std::vector<ByteRope::Piece>& parts);
 
  private:
   wire::ConfigurationOutcome Apply(const wire::ConfigurationPut& put);
--- a/src/limpethatch/version/job_ledger.cc
+++ b/src/limpethatch/version/job_ledger.cc
@@ -41,6 +41,52 @@
   }
 }
 
+wire::JobSnapshot SnapshotOf(const Job& job) {
+  wire::JobSnapshot saved;
+  *saved.mutable_submit() = job.submit;
+  saved.set_ended(job.ended);
+  for (const uint32_t index : job.listed) {
+    saved.add_listed(index);
+  }
+  for (const JobSampleRecord& record : job.samples) {
+    wire::SampleRecordSnapshot& sample = *saved.add_samples();
+    sample.set_state(record.state);
+    sample.set_text(record.made.text);
+    sample.set_events(record.made.events);
+    sample.set_failures(record.failures);
+    sample.set_whole(record.made.whole);
+    sample.set_carried(record.carried);
+    for (const uint64_t version : record.made.versions) {
+      sample.add_versions(version);
+    }
+  }
+  return saved;
+}
+
+Job JobOf(const wire::JobSnapshot& saved) {
+  Job job;
+  job.submit = saved.submit();
+  job.ended = saved.ended();
+  job.listed = {saved.listed().begin(), saved.listed().end()};
+  for (const wire::SampleRecordSnapshot& sample : saved.samples()) {
+    JobSampleRecord& record = job.samples.emplace_back();
+    record.state = sample.state();
+    record.failures = sample.failures();
+    record.carried = sample.carried();
+    record.made = {sample.text(),
+                   sample.events(),
+                   {sample.versions().begin(), sample.versions().end()},
+                   sample.whole()};
+  }
+  return job;
+}
+
+ByteRope::Piece Serialise(const Job& job) {
+  wire::FleetSnapshot snapshot;
+  *snapshot.add_jobs() = SnapshotOf(job);
+  return std::make_shared<const std::string>(snapshot.SerializeAsString());
+}
+
 }  // namespace
 
 std::string SampleText::Unpacked() const {
@@ -64,14 +110,15 @@
   job.submit = submit;
   job.samples.resize(static_cast<size_t>(submit.samples_size()));
   order_.push_back(submit.job());
+  Unpacked unpacked;
   for (uint32_t index = 0; index < job.samples.size(); ++index) {
-    CarryOver(job, index);
+    CarryOver(job, index, &unpacked);
   }
   IndexSamples(job);
   return Verdict(wire::JobOutcome::ACCEPTED);
 }
 
-void JobLedger::CarryOver(Job& job, uint32_t index) {
+void JobLedger::CarryOver(Job& job, uint32_t index, Unpacked* unpacked) {
   const std::string& id = job.submit.samples(static_cast<int>(index)).id();
   const auto found = latest_.find(id);
   if (found == latest_.end() || found->second.job == job.submit.job()) {
@@ -81,6 +128,13 @@
   if (!earlier) {
     return;
   }
+  if (earlier->packed) {
+    const auto known = unpacked->find(found->second.job);
+    earlier = known != unpacked->end()
+                  ? &known->second
+                  : &unpacked->emplace(found->second.job, Unpack(*earlier))
+                         .first->second;
+  }
   job.samples[index].carried = true;
   const JobSampleRecord& record = earlier->samples[found->second.index];
   if (record.made.events == 0 ||
@@ -106,9 +160,12 @@
     return Verdict(wire::JobOutcome::UNKNOWN);
   }
   Job& job = found->second;
-  job.ended = true;
-  for (wire::JobSample& sample : *job.submit.mutable_samples()) {
-    KeepNameOnly(&sample);
+  if (!job.ended) {
+    job.ended = true;
+    for (wire::JobSample& sample : *job.submit.mutable_samples()) {
+      KeepNameOnly(&sample);
+    }
+    Pack(job);
   }
   return Verdict(wire::JobOutcome::ENDED);
 }
@@ -118,7 +175,9 @@
   if (found == jobs_.end()) {
     return Verdict(wire::JobOutcome::UNKNOWN);
   }
-  for (const wire::JobSample& sample : found->second.submit.samples()) {
+  const Job job =
+      found->second.packed ? Unpack(found->second) : std::move(found->second);
+  for (const wire::JobSample& sample : job.submit.samples()) {
     const auto latest = latest_.find(sample.id());
     if (latest != latest_.end() && latest->second.job == forget.job()) {
       latest_.erase(latest);
@@ -138,7 +197,7 @@
 
 void JobLedger::Advance(const wire::SampleAdvance& advance) {
   const auto found = jobs_.find(advance.job());
-  if (found == jobs_.end() ||
+  if (found == jobs_.end() || found->second.ended ||
       advance.sample() >= found->second.samples.size()) {
     return;
   }
@@ -172,9 +231,6 @@
 }
 
 void JobLedger::Settle(Job& job, uint32_t index, wire::SampleState state) {
-  if (job.ended) {
-    return;
-  }
   JobSampleRecord& record = job.samples[index];
   record.state = state;
   if (state == wire::SAMPLE_DEAD) {
@@ -196,6 +252,11 @@
   if (!job) {
     return page;
   }
+  Job unpacked;
+  if (job->packed) {
+    unpacked = Unpack(*job);
+    job = &unpacked;
+  }
   page.set_known(true);
   page.set_total(job->samples.size());
   size_t bytes = 0;
@@ -240,52 +301,46 @@
 
 void JobLedger::Save(wire::FleetSnapshot* snapshot) const {
   for (const std::string& id : order_) {
-    Save(id, snapshot);
+    const Job& job = jobs_.at(id);
+    *snapshot->add_jobs() = SnapshotOf(job.packed ? Unpack(job) : job);
   }
 }
 
-void JobLedger::Save(const std::string& id,
-                     wire::FleetSnapshot* snapshot) const {
+ByteRope::Piece JobLedger::Packed(const std::string& id) const {
   const Job& job = jobs_.at(id);
-  wire::JobSnapshot& saved = *snapshot->add_jobs();
-  *saved.mutable_submit() = job.submit;
-  saved.set_ended(job.ended);
-  for (const uint32_t index : job.listed) {
-    saved.add_listed(index);
-  }
-  for (const JobSampleRecord& record : job.samples) {
-    wire::SampleRecordSnapshot& sample = *saved.add_samples();
-    sample.set_state(record.state);
-    sample.set_text(record.made.text);
-    sample.set_events(record.made.events);
-    sample.set_failures(record.failures);
-    sample.set_whole(record.made.whole);
-    sample.set_carried(record.carried);
-    for (const uint64_t version : record.made.versions) {
-      sample.add_versions(version);
-    }
-  }
+  return job.packed ? job.packed : Serialise(job);
+}
+
+void JobLedger::Pack(Job& job) {
+  job.packed = Serialise(job);
+  job.listed_when_packed = job.listed.size();
+  google::protobuf::RepeatedPtrField<wire::JobSample>().Swap(
+      job.submit.mutable_samples());
+  std::vector<JobSampleRecord>().swap(job.samples);
+  std::vector<uint32_t>().swap(job.listed);
+}
+
+Job JobLedger::Unpack(const Job& job) {
+  wire::FleetSnapshot snapshot;
+  // It was serialised in this process.
+  snapshot.ParseFromString(*job.packed);
+  return JobOf(snapshot.jobs(0));
 }
 
 void JobLedger::Load(const wire::FleetSnapshot& snapshot) {
   *this = JobLedger();
+  Add(snapshot);
+}
+
+void JobLedger::Add(const wire::FleetSnapshot& snapshot) {
   for (const wire::JobSnapshot& saved : snapshot.jobs()) {
     Job& job = jobs_[saved.submit().job()];
-    job.submit = saved.submit();
-    job.ended = saved.ended();
-    job.listed = {saved.listed().begin(), saved.listed().end()};
-    for (const wire::SampleRecordSnapshot& sample : saved.samples()) {
-      JobSampleRecord& record = job.samples.emplace_back();
-      record.state = sample.state();
-      record.failures = sample.failures();
-      record.carried = sample.carried();
-      record.made = {sample.text(),
-                     sample.events(),
-                     {sample.versions().begin(), sample.versions().end()},
-                     sample.whole()};
-    }
+    job = JobOf(saved);
     order_.push_back(job.submit.job());
     IndexSamples(job);
+    if (job.ended) {
+      Pack(job);
+    }
   }
 }
 
--- a/src/limpethatch/version/job_ledger.h
+++ b/src/limpethatch/version/job_ledger.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "fleet.pb.h"
+#include "limpethatch/process/byte_rope.h"
 
 namespace limpethatch {
 
@@ -44,7 +45,14 @@
   std::vector<JobSampleRecord> samples;
   std::vector<uint32_t> listed;  // Sample indexes, by position.
   bool ended = false;
-
+  // Set once the job has ended: all of it, as a serialised wire::FleetSnapshot.
+  // Its samples and what was made for them stand only here then.
+  ByteRope::Piece packed;
+  size_t listed_when_packed = 0;
+
+  size_t positions() const {
+    return packed ? listed_when_packed : listed.size();
+  }
   bool AllListed() const { return listed.size() == samples.size(); }
 };
 
@@ -73,10 +81,14 @@
   // The body of a sample that is not listed, of a job that is not ended.
   wire::JobBody Body(std::string_view job, std::string_view sample) const;
 
-  // Adds all jobs, or one, to the snapshot.
+  // Adds all jobs to the snapshot.
   void Save(wire::FleetSnapshot* snapshot) const;
-  void Save(const std::string& job, wire::FleetSnapshot* snapshot) const;
+  // One job as a serialised wire::FleetSnapshot.
+  ByteRope::Piece Packed(const std::string& job) const;
+  // Replaces all jobs.
   void Load(const wire::FleetSnapshot& snapshot);
+  // Adds the snapshot's jobs behind those that are known.
+  void Add(const wire::FleetSnapshot& snapshot);
 
  private:
   struct SampleAddress {
@@ -85,8 +97,13 @@
   };
 
   void Advance(const wire::SampleAdvance& advance);
+  // Jobs that were unpacked to be read, by id.
+  using Unpacked = std::map<std::string, Job, std::less<>>;
+
   // Takes over what an earlier job recorded under the same sample id.
-  void CarryOver(Job& job, uint32_t index);
+  void CarryOver(Job& job, uint32_t index, Unpacked* unpacked);
+  static void Pack(Job& job);
+  static Job Unpack(const Job& job);
   void Settle(Job& job, uint32_t index, wire::SampleState state);
   void IndexSamples(const Job& job);
 
--- /dev/null
+++ b/src/limpethatch/version/sample_intake.cc
@@ -0,0 +1,51 @@
+#include "limpethatch/version/sample_intake.h"
+
+namespace limpethatch {
+
+using Verdict = SampleIntake::Verdict;
+
+Verdict SampleIntake::Refuse(Verdict verdict, const char* reason) {
+  reason_ = reason;
+  return verdict;
+}
+
+Verdict SampleIntake::Begin(uint64_t version) {
+  version_ = version;
+  // An engine that has nothing to add behind the last event names no version.
+  if (version != 0 && version < sample_.min_version) {
+    return Refuse(Verdict::kNotRun, "weights_too_old");
+  }
+  return Verdict::kGoOn;
+}
+
+Verdict SampleIntake::Take(uint64_t id, uint64_t version) {
+  if (version != 0) {
+    version_ = version;
+  }
+  if (version_ == 0) {
+    return Refuse(Verdict::kBroken, "weights_not_named");
+  }
+  if (id != sample_.events + 1) {
+    return Refuse(Verdict::kBroken, "event_out_of_order");
+  }
+  if (version_ < sample_.min_version) {
+    return Refuse(Verdict::kBroken, "weights_too_old");
+  }
+  if (sample_.single_version && !sample_.versions.empty() &&
+      !sample_.versions.contains(version_)) {
+    discard_ = true;
+    return Refuse(Verdict::kBroken, "weights_changed");
+  }
+  sample_.versions.insert(version_);
+  ++sample_.events;
+  return Verdict::kGoOn;
+}
+
+Verdict SampleIntake::End(bool partial) {
+  if (partial || sample_.events == 0) {
+    return Refuse(Verdict::kBroken, "ended_within_an_event");
+  }
+  return Verdict::kDone;
+}
+
+}  // namespace limpethatch
--- a/src/limpethatch/version/sample_scheduler.cc
+++ b/src/limpethatch/version/sample_scheduler.cc
@@ -269,8 +269,9 @@
     return;
   }
   Run& run = found->second;
-  if (run.began) {
-    board_.ObserveGap(run.engine, now - run.last_progress);
+  if (run.began && events > run.events) {
+    board_.ObserveGap(run.engine,
+                      (now - run.last_progress) / (events - run.events));
   }
   board_.Answered(run.engine);
   run.began = true;
--- a/src/programs/control/fleet_members.cc
+++ b/src/programs/control/fleet_members.cc
@@ -130,6 +130,7 @@
     replica.silent =
         now - std::max(heard_at, consensus->leading_since()) > kReplaceAfter;
     replica.retired = ledger().retired().contains(id);
+    replica.leads = id == settings_.process.id;
     for (const wire::Member& member : consensus->members().members()) {
       if (member.id() == id) {
         replica.member = true;
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -263,7 +263,7 @@
     const wire::JobQuery& query = reader.request.job();
     const Job* job = ledger().jobs().Find(query.job());
     const bool due = now >= reader.until || !job || !Active(now) ||
-                     job->listed.size() > query.after();
+                     job->positions() > query.after();
     if (due) {
       AnswerJob(reader.request, false);
     } else {
--- a/src/programs/control/main.cc
+++ b/src/programs/control/main.cc
@@ -9,6 +9,7 @@
 #include "limpethatch/process/command_line.h"
 #include "limpethatch/process/heap.h"
 #include "limpethatch/process/log.h"
+#include "limpethatch/process/loop_watch.h"
 #include "limpethatch/process/settings_watch.h"
 #include "limpethatch/process/timer_service.h"
 #include "programs/control/control_service.h"
@@ -92,6 +93,7 @@
   boost::asio::signal_set hangups(io, SIGHUP);
   ReloadOnHangup(hangups, path, service);
   const SettingsWatch watch(timers, path, [&] { Reload(path, service); });
+  const LoopWatch loop_watch(timers);
   Log(LogLevel::kInfo, "started",
       {{"version", LIMPETHATCH_VERSION},
        {"peers", settings.peers.ToString()},
--- a/src/programs/control/replica_runner.cc
+++ b/src/programs/control/replica_runner.cc
@@ -272,9 +272,9 @@
 }
 
 void ReplicaRunner::CarryOut(RestoreAction& action) {
-  if (!ledgers_->Restore(action.snapshot->state())) {
+  if (!ledgers_->Restore(action.snapshot->state)) {
     Log(LogLevel::kError, "snapshot_unreadable",
-        {{"index", action.snapshot->index()}});
+        {{"index", action.snapshot->index}});
   }
 }
 
@@ -295,7 +295,7 @@
 
 void ReplicaRunner::CarryOut(NeedStateAction&) {
   const uint64_t applied = consensus_->applied_index();
-  std::string state = ledgers_->Snapshot();
+  ByteRope state = ledgers_->Snapshot();
   Log(LogLevel::kInfo, "state_sent",
       {{"index", applied}, {"bytes", state.size()}});
   consensus_->ProvideState(applied, std::move(state));
--- a/src/programs/control/sample_runner.cc
+++ b/src/programs/control/sample_runner.cc
@@ -62,7 +62,8 @@
       timers_(timers),
       scheduler_(scheduler),
       listener_(std::move(listener)),
-      client_(io, HttpClientOptions{}) {
+      client_(io, HttpClientOptions{}),
+      pacer_(io) {
   timers_.Every(kRecordPeriod, [this](TimePoint) { Flush(); });
 }
 
@@ -227,11 +228,21 @@
                                 HttpStream& stream,
                                 uint64_t version) {
   const uint64_t generation = generation_;
-  EngineBoard& board = scheduler_.board();
-  board.Prove(run->start.engine, run->model, version);
-  if (version < run->min_version) {
-    run->reason = "weights_too_old";
-    return RunEnd::kNotRun;
+  const Progress& made = progress_[run->start.key];
+  SampleIntake intake(
+      {run->min_version, run->single_version, made.total(), made.versions});
+  const auto end_by = [&](SampleIntake::Verdict verdict) {
+    run->reason = intake.reason();
+    if (intake.discard()) {
+      Discard(progress_[run->start.key]);
+    }
+    return verdict == SampleIntake::Verdict::kNotRun ? RunEnd::kNotRun
+                                                     : RunEnd::kBroken;
+  };
+  scheduler_.board().Prove(run->start.engine, run->model, version);
+  if (const auto verdict = intake.Begin(version);
+      verdict != SampleIntake::Verdict::kGoOn) {
+    return end_by(verdict);
   }
   platform::EventParser parser;
   while (true) {
@@ -247,50 +258,44 @@
       break;
     }
     parser.Feed(piece.value());
+    bool any = false;
     while (const auto event = parser.Next()) {
-      if (!TakeEvent(run, *event, &version)) {
-        return RunEnd::kBroken;
+      if (const auto verdict = intake.Take(event->id, event->version);
+          verdict != SampleIntake::Verdict::kGoOn) {
+        return end_by(verdict);
       }
+      Keep(run, *event, intake.version());
+      any = true;
+    }
+    if (any) {
+      scheduler_.Event(run->start.key, progress_[run->start.key].total(),
+                       Clock::now());
+    }
+    pacer_.Pause(yield, runs_.size());
+    if (generation != generation_) {
+      return RunEnd::kStopped;
     }
   }
-  Progress& progress = progress_[run->start.key];
-  if (parser.HasPartial() || progress.total() == 0) {
-    run->reason = "ended_within_an_event";
-    return RunEnd::kBroken;
+  if (const auto verdict = intake.End(parser.HasPartial());
+      verdict != SampleIntake::Verdict::kDone) {
+    return end_by(verdict);
   }
-  progress.state = wire::SAMPLE_COMPLETED;
+  progress_[run->start.key].state = wire::SAMPLE_COMPLETED;
   FlushSoon();
   return RunEnd::kDone;
 }
 
-bool SampleRunner::TakeEvent(const RunPtr& run,
-                             const platform::StreamEvent& event,
-                             uint64_t* version) {
-  Progress& progress = progress_[run->start.key];
+void SampleRunner::Keep(const RunPtr& run,
+                        const platform::StreamEvent& event,
+                        uint64_t version) {
   if (event.version != 0) {
-    *version = event.version;
-    scheduler_.board().Prove(run->start.engine, run->model, *version);
-  }
-  if (event.id != progress.total() + 1) {
-    run->reason = "event_out_of_order";
-    return false;
-  }
-  if (*version < run->min_version) {
-    run->reason = "weights_too_old";
-    return false;
+    scheduler_.board().Prove(run->start.engine, run->model, version);
   }
-  if (run->single_version && !progress.versions.empty() &&
-      !progress.versions.contains(*version)) {
-    run->reason = "weights_changed";
-    Discard(progress);
-    return false;
-  }
-  progress.versions.insert(*version);
-  progress.new_versions.insert(*version);
+  Progress& progress = progress_[run->start.key];
+  progress.versions.insert(version);
+  progress.new_versions.insert(version);
   progress.events.push_back(event.data);
   ++counters_.events;
-  scheduler_.Event(run->start.key, progress.total(), Clock::now());
-  return true;
 }
 
 void SampleRunner::Discard(Progress& progress) {
--- a/src/programs/control/sample_runner.h
+++ b/src/programs/control/sample_runner.h
@@ -13,8 +13,10 @@
 
 #include "fleet.pb.h"
 #include "limpethatch/connection/http_client.h"
+#include "limpethatch/connection/read_pacer.h"
 #include "limpethatch/process/timer_service.h"
 #include "limpethatch/version/job_ledger.h"
+#include "limpethatch/version/sample_intake.h"
 #include "limpethatch/version/sample_scheduler.h"
 #include "platform/engine_codec.h"
 
@@ -97,10 +99,10 @@
                     const RunPtr& run,
                     HttpStream& stream,
                     uint64_t version);
-  // False if the run can't go on with this event.
-  bool TakeEvent(const RunPtr& run,
-                 const platform::StreamEvent& event,
-                 uint64_t* version);
+  // Takes in an event that `version` of the weights made.
+  void Keep(const RunPtr& run,
+            const platform::StreamEvent& event,
+            uint64_t version);
   RunEnd Refused(const RunPtr& run, const platform::SampleHead& head);
   RunEnd CountFailure(const RunPtr& run);
   void Discard(Progress& progress);
@@ -112,6 +114,7 @@
   SampleScheduler& scheduler_;
   Listener listener_;
   HttpClient client_;
+  ReadPacer pacer_;
   uint64_t generation_ = 0;  // Grows with each Reset.
   std::map<SampleKey, RunPtr> runs_;
   std::map<SampleKey, Progress> progress_;
--- a/tests/connection/messenger_test.cc
+++ b/tests/connection/messenger_test.cc
@@ -116,6 +116,26 @@
   cr_assert(sender.bytes_sent() <= 6 * 12, "the queue is bounded");
 }
 
+Test(messenger, a_peer_that_takes_nothing_costs_no_more_than_the_byte_limit) {
+  Messenger sender({.max_queued_bytes_per_peer = 1000}, [](auto) {});
+  const Endpoint absent = FreeEndpoint();
+  for (int i = 0; i < 100; ++i) {
+    sender.Send(absent, std::string(300, 'x'));
+  }
+  cr_assert(sender.bytes_sent() >= 3 * 308);
+  cr_assert(sender.bytes_sent() <= 1000);
+}
+
+Test(messenger, a_message_above_the_byte_limit_is_sent_alone) {
+  Inbox inbox;
+  const Endpoint address = FreeEndpoint();
+  Messenger receiver({}, inbox.receiver());
+  cr_assert(!receiver.Listen(address));
+  Messenger sender({.max_queued_bytes_per_peer = 1000}, [](auto) {});
+  sender.Send(address, std::string(2000, 'x'));
+  cr_assert(inbox.Next() == std::string(2000, 'x'));
+}
+
 Test(messenger, an_idle_peer_is_closed) {
   Messenger sender({.max_idle_time = 1ms}, [](auto) {});
   sender.Send(FreeEndpoint(), "x");
--- a/tests/process/compression_test.cc
+++ b/tests/process/compression_test.cc
@@ -1,6 +1,7 @@
 #include "limpethatch/process/compression.h"
 
 #include <rapidcheck.h>
+#include <zlib.h>
 
 #include <string>
 
@@ -41,4 +42,18 @@
   cr_assert(!DecompressCommand(wrong));
 }
 
+Test(compression, commands_of_earlier_releases_are_still_read) {
+  // 600 times 'x' as it was stored with zlib.
+  const std::string command(600, 'x');
+  uLongf length = compressBound(command.size());
+  std::string stored(5 + length, '\0');
+  stored[3] = '\x02';
+  stored[4] = '\x58';
+  cr_assert(compress(reinterpret_cast<Bytef*>(stored.data()) + 5, &length,
+                     reinterpret_cast<const Bytef*>(command.data()),
+                     command.size()) == Z_OK);
+  stored.resize(5 + length);
+  cr_assert(DecompressCommand(stored) == command);
+}
+
 }  // namespace limpethatch
--- a/tests/process/consensus_world.cc
+++ b/tests/process/consensus_world.cc
@@ -155,7 +155,7 @@
     } else if (const auto* apply = std::get_if<ApplyAction>(&action)) {
       Apply(replica, apply->entry);
     } else if (const auto* restore = std::get_if<RestoreAction>(&action)) {
-      node.applied = Split(restore->snapshot->state());
+      node.applied = Split(restore->snapshot->state.ToString());
     } else if (std::get_if<NeedStateAction>(&action)) {
       node.consensus->ProvideState(node.consensus->applied_index(),
                                    Join(node.applied));
@@ -281,7 +281,7 @@
       continue;
     }
     const ReplicatedLog& log = node.consensus->log();
-    uint64_t previous = log.snapshot() ? log.snapshot()->term() : 0;
+    uint64_t previous = log.snapshot() ? log.snapshot()->term : 0;
     for (uint64_t i = log.snapshot_index() + 1; i <= log.last_index(); ++i) {
       const wire::LogEntry& entry = log.At(i);
       const std::string content =
--- a/tests/process/durable_log_test.cc
+++ b/tests/process/durable_log_test.cc
@@ -150,16 +150,16 @@
     cr_assert(log.Open(kDisk, kSession).has_value());
     PersistAction persist = Persist(kDisk, {});
     persist.entries.assign(tail, Entry(4, 2, "tail"));
-    auto snapshot = std::make_shared<wire::SnapshotRecord>();
-    snapshot->set_index(3);
-    snapshot->set_term(2);
-    snapshot->set_state("state");
+    auto snapshot = std::make_shared<StateSnapshot>();
+    snapshot->index = 3;
+    snapshot->term = 2;
+    snapshot->state = "state";
     persist.snapshot = snapshot;
     cr_assert_not(log.Write({&persist, 1}));
 
     MemoryDisk copy = disk;
     const DurableState state = Reopen(copy).value();
-    cr_assert_str_eq(state.snapshot->state().c_str(), "state");
+    cr_assert_str_eq(state.snapshot->state.ToString().c_str(), "state");
     cr_assert_eq(state.entries.size(), tail);
 
     MemoryDisk without = disk;
--- a/tests/process/member_planner_test.cc
+++ b/tests/process/member_planner_test.cc
@@ -86,4 +86,14 @@
   cr_assert(removed->id == "a" || removed->id == "d");
 }
 
+Test(member_planner, of_two_voters_of_a_zone_the_leader_stays) {
+  std::vector<KnownReplica> replicas = Three();
+  replicas.push_back(ReplicaOf("d", "z1", true));
+  replicas[0].leads = true;
+  cr_assert_str_eq(PlanMembers(replicas, 3)->id.c_str(), "d");
+  replicas[0].leads = false;
+  replicas[3].leads = true;
+  cr_assert_str_eq(PlanMembers(replicas, 3)->id.c_str(), "a");
+}
+
 }  // namespace limpethatch
--- a/tests/process/memory_disk.h
+++ b/tests/process/memory_disk.h
@@ -22,11 +22,11 @@
     return found->second.bytes;
   }
 
-  std::error_code Replace(const std::string& name, std::string_view bytes) {
+  std::error_code Replace(const std::string& name, const ByteRope& contents) {
     if (full) {
       return std::make_error_code(std::errc::no_space_on_device);
     }
-    files_[name] = {std::string(bytes), bytes.size()};
+    files_[name] = {contents.ToString(), contents.size()};
     return {};
   }
 
--- a/tests/request/ledgers_test.cc
+++ b/tests/request/ledgers_test.cc
@@ -1,5 +1,8 @@
 #include "limpethatch/request/ledgers.h"
 
+#include <algorithm>
+#include <string>
+
 #include <criterion/criterion.h>
 
 namespace limpethatch {
@@ -82,5 +85,70 @@
   cr_assert_eq(accepted.notices_size(), 1);
 }
 
+wire::Command Submit(const std::string& job, int samples) {
+  wire::Command command;
+  wire::JobSubmit& submit = *command.mutable_job_submit();
+  submit.set_job(job);
+  for (int i = 0; i < samples; ++i) {
+    submit.add_samples()->set_id(job + std::to_string(i));
+  }
+  return command;
+}
+
+// Two jobs, each with one sample made; the first has ended.
+void RunTwoJobs(Ledgers& ledgers) {
+  for (const char* job : {"ended", "open"}) {
+    ledgers.Apply(Submit(job, 3));
+    wire::Command command;
+    wire::SampleAdvance& advance =
+        *command.mutable_samples_advance()->add_advances();
+    advance.set_job(job);
+    advance.add_events("text of " + std::string(job));
+    advance.set_state(wire::SAMPLE_COMPLETED);
+    ledgers.Apply(command);
+  }
+  wire::Command end;
+  end.mutable_job_end()->set_job("ended");
+  ledgers.Apply(end);
+}
+
+Test(ledgers, snapshots_share_what_ended_jobs_hold) {
+  Ledgers ledgers;
+  RunTwoJobs(ledgers);
+  const ByteRope::Piece& packed = ledgers.fleet().jobs().Find("ended")->packed;
+  for (int snapshot = 0; snapshot < 2; ++snapshot) {
+    const ByteRope state = ledgers.Snapshot();
+    cr_assert(std::find(state.pieces().begin(), state.pieces().end(), packed) !=
+              state.pieces().end());
+  }
+}
+
+Test(ledgers, a_state_that_came_in_pieces_of_any_size_is_restored_whole) {
+  Bench bench;
+  RunTwoJobs(bench.ledgers);
+  const std::string bytes = bench.ledgers.Snapshot().ToString();
+  for (const size_t size : {size_t{1}, size_t{7}, bytes.size()}) {
+    ByteRope pieces;
+    for (size_t at = 0; at < bytes.size(); at += size) {
+      pieces.Append(bytes.substr(at, size));
+    }
+    Ledgers restored;
+    cr_assert(restored.Restore(pieces));
+    cr_assert(restored.Snapshot().ToString() == bytes);
+    const wire::JobPage page = restored.fleet().jobs().Page("ended", 0);
+    cr_assert(page.total() == 3 && page.results_size() == 1);
+    cr_assert(page.results(0).text() == "text of ended");
+    cr_assert(restored.manifest().version() == 1);
+  }
+}
+
+Test(ledgers, a_state_that_is_cut_short_changes_nothing) {
+  Ledgers ledgers;
+  RunTwoJobs(ledgers);
+  const std::string bytes = ledgers.Snapshot().ToString();
+  cr_assert_not(ledgers.Restore(bytes.substr(0, bytes.size() - 1)));
+  cr_assert(ledgers.Snapshot().ToString() == bytes);
+}
+
 }  // namespace
 }  // namespace limpethatch
--- a/tests/version/sample_scheduler_test.cc
+++ b/tests/version/sample_scheduler_test.cc
@@ -165,8 +165,10 @@
   for (uint32_t tick = 1; tick <= 30 && stops.empty(); ++tick) {
     deployment.now += milliseconds(40);
     for (const auto& [index, engine] : starts) {
-      if (engine != slow || tick % 4 == 0) {
+      if (engine != slow) {
         deployment.scheduler.Event({"job", index}, tick, deployment.now);
+      } else if (tick % 4 == 0) {
+        deployment.scheduler.Event({"job", index}, tick / 4, deployment.now);
       }
     }
     stops = deployment.scheduler.Plan(deployment.jobs, deployment.now).stops;
@@ -180,6 +182,24 @@
   cr_assert(plan.stops.empty());
 }
 
+// The load: streams that are read in rounds, one engine's longer than others'.
+Test(sample_scheduler, an_engine_read_rarely_is_not_taken_for_a_slow_one) {
+  Deployment deployment(4, 4);
+  deployment.Submit("job", {{100}, {100}, {100}, {100}});
+  const auto starts = deployment.Starts(
+      deployment.scheduler.Plan(deployment.jobs, deployment.now));
+  for (uint32_t tick = 1; tick <= 60; ++tick) {
+    deployment.now += milliseconds(40);
+    for (const auto& [index, engine] : starts) {
+      if (index != 0 || tick % 4 == 0) {
+        deployment.scheduler.Event({"job", index}, tick, deployment.now);
+      }
+    }
+    cr_assert(deployment.scheduler.Plan(deployment.jobs, deployment.now)
+                  .stops.empty());
+  }
+}
+
 // Seen on a day with slow engines: with nowhere else to go, a sample was moved
 // to the engine that it had just left, each time on a new connection.
 Test(sample_scheduler, with_all_other_engines_full_nothing_is_moved) {
@@ -190,8 +210,10 @@
   for (uint32_t tick = 1; tick <= 60; ++tick) {
     deployment.now += milliseconds(40);
     for (const auto& [index, engine] : starts) {
-      if (index != 0 || tick % 6 == 0) {
+      if (index != 0) {
         deployment.scheduler.Event({"job", index}, tick, deployment.now);
+      } else if (tick % 6 == 0) {
+        deployment.scheduler.Event({"job", index}, tick / 6, deployment.now);
       }
     }
     cr_assert(deployment.scheduler.Plan(deployment.jobs, deployment.now)
