--- a/src/limpethatch/version/fleet_ledger.cc
+++ b/src/limpethatch/version/fleet_ledger.cc
@@ -88,7 +88,7 @@
       weights_[named.model()] = named.version();
     }
     retired_.insert(snapshot.retired().begin(), snapshot.retired().end());
-    jobs_.Add(snapshot);
+    jobs_.Add(std::move(snapshot), part);
   }
   return true;
 }
--- a/src/limpethatch/version/job_ledger.cc
+++ b/src/limpethatch/version/job_ledger.cc
@@ -81,6 +81,12 @@
   return job;
 }
 
+// Clearing the field would keep its memory.
+void DropSamples(wire::JobSubmit* submit) {
+  google::protobuf::RepeatedPtrField<wire::JobSample>().Swap(
+      submit->mutable_samples());
+}
+
 ByteRope::Piece Serialise(const Job& job) {
   wire::FleetSnapshot snapshot;
   *snapshot.add_jobs() = SnapshotOf(job);
@@ -114,7 +120,7 @@
   for (uint32_t index = 0; index < job.samples.size(); ++index) {
     CarryOver(job, index, &unpacked);
   }
-  IndexSamples(job);
+  IndexSamples(submit);
   return Verdict(wire::JobOutcome::ACCEPTED);
 }
 
@@ -147,10 +153,10 @@
   }
 }
 
-void JobLedger::IndexSamples(const Job& job) {
+void JobLedger::IndexSamples(const wire::JobSubmit& submit) {
   uint32_t index = 0;
-  for (const wire::JobSample& sample : job.submit.samples()) {
-    latest_[sample.id()] = {job.submit.job(), index++};
+  for (const wire::JobSample& sample : submit.samples()) {
+    latest_[sample.id()] = {submit.job(), index++};
   }
 }
 
@@ -314,8 +320,7 @@
 void JobLedger::Pack(Job& job) {
   job.packed = Serialise(job);
   job.listed_when_packed = job.listed.size();
-  google::protobuf::RepeatedPtrField<wire::JobSample>().Swap(
-      job.submit.mutable_samples());
+  DropSamples(&job.submit);
   std::vector<JobSampleRecord>().swap(job.samples);
   std::vector<uint32_t>().swap(job.listed);
 }
@@ -329,18 +334,29 @@
 
 void JobLedger::Load(const wire::FleetSnapshot& snapshot) {
   *this = JobLedger();
-  Add(snapshot);
+  Add(snapshot, nullptr);
 }
 
-void JobLedger::Add(const wire::FleetSnapshot& snapshot) {
-  for (const wire::JobSnapshot& saved : snapshot.jobs()) {
-    Job& job = jobs_[saved.submit().job()];
-    job = JobOf(saved);
-    order_.push_back(job.submit.job());
-    IndexSamples(job);
-    if (job.ended) {
-      Pack(job);
+void JobLedger::Add(wire::FleetSnapshot snapshot,
+                    const ByteRope::Piece& packed) {
+  const bool alone = snapshot.jobs_size() == 1;
+  for (wire::JobSnapshot& saved : *snapshot.mutable_jobs()) {
+    const std::string id = saved.submit().job();
+    order_.push_back(id);
+    IndexSamples(saved.submit());
+    Job& job = jobs_[id];
+    if (!saved.ended() || !packed || !alone) {
+      job = JobOf(saved);
+      if (job.ended) {
+        Pack(job);
+      }
+      continue;
     }
+    job.ended = true;
+    job.packed = packed;
+    job.listed_when_packed = static_cast<size_t>(saved.listed_size());
+    job.submit.Swap(saved.mutable_submit());
+    DropSamples(&job.submit);
   }
 }
 
--- a/src/limpethatch/version/job_ledger.h
+++ b/src/limpethatch/version/job_ledger.h
@@ -87,8 +87,9 @@
   ByteRope::Piece Packed(const std::string& job) const;
   // Replaces all jobs.
   void Load(const wire::FleetSnapshot& snapshot);
-  // Adds the snapshot's jobs behind those that are known.
-  void Add(const wire::FleetSnapshot& snapshot);
+  // Adds the snapshot's jobs behind those that are known. `packed` is its
+  // serialised form; an ended job that stands in it alone is kept as that.
+  void Add(wire::FleetSnapshot snapshot, const ByteRope::Piece& packed);
 
  private:
   struct SampleAddress {
@@ -105,7 +106,7 @@
   static void Pack(Job& job);
   static Job Unpack(const Job& job);
   void Settle(Job& job, uint32_t index, wire::SampleState state);
-  void IndexSamples(const Job& job);
+  void IndexSamples(const wire::JobSubmit& submit);
 
   std::map<std::string, Job, std::less<>> jobs_;
   std::deque<std::string> order_;
--- a/src/limpethatch/version/sample_intake.h
+++ b/src/limpethatch/version/sample_intake.h
@@ -21,7 +21,7 @@
   struct Sample {
     uint64_t min_version = 0;  // The oldest weights that may make it.
     bool single_version = false;
-    uint32_t events = 0;          // Made so far.
+    uint32_t events = 0;            // Made so far.
     std::set<uint64_t> versions{};  // That made them.
   };
 
--- a/src/programs/control/control_settings.h
+++ b/src/programs/control/control_settings.h
@@ -27,8 +27,9 @@
   Duration order_delivery_bound = std::chrono::seconds(1);
   // Log entries after which the state is written as a snapshot.
   uint64_t snapshot_entries = 10'000;
-  // Size of the commands in memory after which it is, too.
-  uint64_t snapshot_bytes = 12UL * 1024 * 1024;
+  // Size of the commands in memory after which it is, too: a twentieth of the
+  // memory of the smallest machines that keep data.
+  uint64_t snapshot_bytes = 6UL * 1024 * 1024;
 
   // Serves a fleet of routes, targets and batch jobs besides.
   bool fleet = false;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -126,6 +126,28 @@
   }
 }
 
+Test(job_codec, a_page_is_one_json_object_with_its_results_in_order) {
+  wire::JobPage page;
+  page.set_total(3);
+  page.set_next(2);
+  cr_assert(EncodePage(page) ==
+            R"({"total":3,"next_page_token":2,"results":[]})");
+  wire::JobResult& first = *page.add_results();
+  first.set_id("s1");
+  first.set_state(wire::SAMPLE_COMPLETED);
+  first.set_text("a \"quoted\"\nline");
+  first.add_versions(6);
+  first.add_versions(7);
+  wire::JobResult& second = *page.add_results();
+  second.set_id("s0");
+  second.set_state(wire::SAMPLE_DEAD);
+  cr_assert(EncodePage(page) ==
+            R"({"total":3,"next_page_token":2,"results":[)"
+            R"({"id":"s1","state":"completed","text":"a \"quoted\"\nline",)"
+            R"("versions":[6,7]},)"
+            R"({"id":"s0","state":"dead","text":"","versions":[]}]})");
+}
+
 Test(call_codec, only_headers_of_the_message_are_forwarded) {
   HttpRequest request;
   request.method = "POST";
--- a/tests/request/ledgers_test.cc
+++ b/tests/request/ledgers_test.cc
@@ -123,6 +123,18 @@
   }
 }
 
+Test(ledgers, an_ended_job_is_kept_as_it_came_in_a_snapshot) {
+  Ledgers ledgers;
+  RunTwoJobs(ledgers);
+  const auto parts = ledgers.fleet().Snapshot();
+  FleetLedger restored;
+  cr_assert(restored.Restore(parts));
+  const Job& job = *restored.jobs().Find("ended");
+  cr_assert(std::find(parts.begin(), parts.end(), job.packed) != parts.end());
+  cr_assert(job.positions() == 1 && job.submit.samples().empty());
+  cr_assert(!restored.jobs().Find("open")->packed);
+}
+
 Test(ledgers, a_state_that_came_in_pieces_of_any_size_is_restored_whole) {
   Bench bench;
   RunTwoJobs(bench.ledgers);
