--- a/src/limpethatch/process/loop_watch.cc
+++ b/src/limpethatch/process/loop_watch.cc
@@ -9,8 +9,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration kPeriod = milliseconds(100);
-
 Duration ProcessorTimeOfThread() {
   timespec used{};
   clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
@@ -24,14 +22,22 @@
 
 }  // namespace
 
-LoopWatch::LoopWatch(TimerService& timers)
-    : last_(Clock::now()), last_processor_time_(ProcessorTimeOfThread()) {
-  timers.Every(kPeriod, [this](TimePoint) { Look(Clock::now()); });
+LoopWatch::LoopWatch(TimerService& timers, Duration period)
+    : period_(period),
+      last_(Clock::now()),
+      last_processor_time_(ProcessorTimeOfThread()) {
+  timers.Every(period_, [this](TimePoint) { Look(Clock::now()); });
+}
+
+Duration LoopWatch::LateBy(Duration since_last, Duration period) {
+  const Duration late = since_last - period;
+  return late > kLate ? late : Duration::zero();
 }
 
 void LoopWatch::Look(TimePoint now) {
   const Duration processor_time = ProcessorTimeOfThread();
-  if (const Duration late = now - last_ - kPeriod; late > kLate) {
+  if (const Duration late = LateBy(now - last_, period_);
+      late > Duration::zero()) {
     Log(LogLevel::kWarning, "event_loop_late",
         {{"late_ms", InMilliseconds(late)},
          {"processor_ms",
--- a/src/limpethatch/process/loop_watch.h
+++ b/src/limpethatch/process/loop_watch.h
@@ -14,12 +14,17 @@
   // Half of the shortest election timeout: later heartbeats cost leadership.
   static constexpr Duration kLate = std::chrono::milliseconds(250);
 
-  // Looks on the thread of `timers`, for as long as these run.
-  explicit LoopWatch(TimerService& timers);
+  // Looks each `period` on the thread of `timers`, for as long as these run.
+  LoopWatch(TimerService& timers, Duration period);
+
+  // How late a look is that comes so long after the one before; zero if that
+  // is not worth a line.
+  static Duration LateBy(Duration since_last, Duration period);
 
  private:
   void Look(TimePoint now);
 
+  const Duration period_;
   TimePoint last_;
   Duration last_processor_time_;
 };
--- a/src/programs/control/main.cc
+++ b/src/programs/control/main.cc
@@ -21,6 +21,8 @@
 // How long a planned stop waits for another to take over.
 constexpr Duration kHandOverTime = std::chrono::seconds(1);
 constexpr Duration kHandOverCheck = std::chrono::milliseconds(20);
+// Twice a heartbeat.
+constexpr Duration kLoopCheck = std::chrono::milliseconds(100);
 
 // Stops the io_context once another replica leads, or after kHandOverTime.
 void StopWhenHandedOver(boost::asio::io_context& io,
@@ -93,7 +95,7 @@
   boost::asio::signal_set hangups(io, SIGHUP);
   ReloadOnHangup(hangups, path, service);
   const SettingsWatch watch(timers, path, [&] { Reload(path, service); });
-  const LoopWatch loop_watch(timers);
+  const LoopWatch loop_watch(timers, kLoopCheck);
   Log(LogLevel::kInfo, "started",
       {{"version", LIMPETHATCH_VERSION},
        {"peers", settings.peers.ToString()},
--- a/src/programs/ctl/explanation.cc
+++ b/src/programs/ctl/explanation.cc
@@ -106,7 +106,9 @@
     }
   }
   if (!decisive) {
-    return events.empty() ? "No line of the logs names it."
+    return events.empty() ? "No line of the logs names it. If it was sent, the "
+                            "process it went to did not run: look for "
+                            "event_loop_late or started in that one's lines."
                           : "Nothing that went wrong was logged for it.";
   }
   const json::object& fields = decisive->fields;
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -18,6 +18,8 @@
 // Longer than an election, so that a change of leader does not count.
 constexpr Duration kOutOfTouchLimit = milliseconds(1600);
 constexpr Duration kExitCheckPeriod = milliseconds(50);
+// Rare, as each look costs a wake-up on a small machine.
+constexpr Duration kLoopCheck = milliseconds(500);
 // Idle connections to targets are closed by them after some seconds.
 constexpr Duration kTargetIdleTime = std::chrono::seconds(15);
 
@@ -77,7 +79,8 @@
       random_(std::random_device()()),
       live_{io_, client_, follower_.targets(), router_, random_, metrics_},
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
-      watch_(timers_, settings_path_, [this] { Reload(); }) {}
+      watch_(timers_, settings_path_, [this] { Reload(); }),
+      loop_watch_(timers_, kLoopCheck) {}
 
 std::error_code Gateway::Start() {
   if (std::error_code error = messenger_.Listen(settings_.peers)) {
--- a/src/programs/gateway/gateway.h
+++ b/src/programs/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "limpethatch/connection/http_client.h"
 #include "limpethatch/connection/http_server.h"
 #include "limpethatch/connection/messenger.h"
+#include "limpethatch/process/loop_watch.h"
 #include "limpethatch/process/settings_watch.h"
 #include "limpethatch/process/timer_service.h"
 #include "programs/gateway/gateway_metrics.h"
@@ -69,6 +70,7 @@
   LiveContext live_;
   boost::asio::signal_set signals_;
   SettingsWatch watch_;
+  LoopWatch loop_watch_;
   bool stopping_ = false;
   uint64_t limits_version_ = 0;
 };
