Three assertions read freed memory; damaged states; what the pacer bounds

They compare strings now, as strictly. Corrected: the pacer keeps to 3,000 reads a second up to 300 streams only, and a comment named a cost that no command shows. No product code changed but that comment.

--- a/src/limpethatch/connection/read_pacer.h
+++ b/src/limpethatch/connection/read_pacer.h
@@ -20,8 +20,9 @@
 // All streams that pause wake up together. For the thread of one io_context.
 class ReadPacer {
  public:
-  // Reads a second, over all streams, above which streams pause: a tenth of a
-  // core at some 30 us for each.
+  // Reads a second, over all streams, above which streams pause. Two fifths of
+  // what 270 streams with 28 events a second would need read one by one. From
+  // 300 streams on, kLongestRound goes before it.
   static constexpr size_t kReadsPerSecond = 3000;
   // Shorter rounds would not bring two events of one stream together.
   static constexpr Duration kShortestRound = std::chrono::milliseconds(20);
--- a/tests/connection/read_pacer_test.cc
+++ b/tests/connection/read_pacer_test.cc
@@ -7,7 +7,7 @@
 using std::chrono::milliseconds;
 
 // The load: 45 engines with 6 samples each, some 28 events a second from each.
-Test(read_pacer, reads_stay_bounded_however_many_streams_there_are) {
+Test(read_pacer, reads_stay_bounded_up_to_the_grown_sizes) {
   for (const size_t streams : {61, 108, 270}) {
     const Duration round = ReadPacer::RoundOf(streams);
     const double reads_per_second =
--- a/tests/process/durable_log_test.cc
+++ b/tests/process/durable_log_test.cc
@@ -159,7 +159,7 @@
 
     MemoryDisk copy = disk;
     const DurableState state = Reopen(copy).value();
-    cr_assert_str_eq(state.snapshot->state.ToString().c_str(), "state");
+    cr_assert(state.snapshot->state.ToString() == "state");
     cr_assert_eq(state.entries.size(), tail);
 
     MemoryDisk without = disk;
--- a/tests/process/member_planner_test.cc
+++ b/tests/process/member_planner_test.cc
@@ -90,10 +90,10 @@
   std::vector<KnownReplica> replicas = Three();
   replicas.push_back(ReplicaOf("d", "z1", true));
   replicas[0].leads = true;
-  cr_assert_str_eq(PlanMembers(replicas, 3)->id.c_str(), "d");
+  cr_assert(PlanMembers(replicas, 3)->id == "d");
   replicas[0].leads = false;
   replicas[3].leads = true;
-  cr_assert_str_eq(PlanMembers(replicas, 3)->id.c_str(), "a");
+  cr_assert(PlanMembers(replicas, 3)->id == "a");
 }
 
 }  // namespace limpethatch
--- a/tests/request/ledgers_test.cc
+++ b/tests/request/ledgers_test.cc
@@ -1,5 +1,7 @@
 #include "limpethatch/request/ledgers.h"
 
+#include <rapidcheck.h>
+
 #include <algorithm>
 #include <string>
 
@@ -154,6 +156,22 @@
   }
 }
 
+Test(ledgers, a_damaged_state_is_refused_or_read_but_never_fatal) {
+  Ledgers source;
+  RunTwoJobs(source);
+  const std::string bytes = source.Snapshot().ToString();
+  cr_assert(rc::check([&bytes](const std::string& noise) {
+    std::string damaged = bytes;
+    const size_t at = *rc::gen::inRange<size_t>(0, bytes.size());
+    damaged.replace(at, noise.size(), noise);
+    Ledgers ledgers;
+    RunTwoJobs(ledgers);
+    if (!ledgers.Restore(damaged)) {
+      RC_ASSERT(ledgers.Snapshot().ToString() == bytes);
+    }
+  }));
+}
+
 Test(ledgers, a_state_that_is_cut_short_changes_nothing) {
   Ledgers ledgers;
   RunTwoJobs(ledgers);
