Measure how old the state of a control instance may be

Nothing told whether a control instance's claim of quorum contact was true: gateways logged the instance that they relied on, but not the age of its state, and control instances logged nothing when they gained or lost that contact.

The leader's appends now carry how long ago a quorum confirmed it, and echo the time and session of the receiver's latest reply. From these a follower computes when its applied state last held everything committed (StateConfirmedAt); the echo makes that independent of delays. Control instances send the age to gateways, and both log it. Nothing is decided by it yet.

--- a/src/limpethatch/process/consensus.cc
+++ b/src/limpethatch/process/consensus.cc
@@ -101,7 +101,7 @@
   return log_.last_index();
 }
 
-void Consensus::OnPersisted(uint64_t sequence, TimePoint) {
+void Consensus::OnPersisted(uint64_t sequence, TimePoint now) {
   persisted_sequence_ = std::max(persisted_sequence_, sequence);
   if (snapshot_sequence_ != 0 && sequence >= snapshot_sequence_) {
     snapshot_sequence_ = 0;
@@ -118,7 +118,7 @@
   if (leading()) {
     AdvanceCommit();
   } else if (!leader_.empty()) {
-    ReplyToAppend(leader_, 0);
+    ReplyToAppend(leader_, 0, now);
   }
 }
 
@@ -249,6 +249,12 @@
     ++applied_index_;
     actions->push_back(ApplyAction{log_.At(applied_index_)});
   }
+  if (pending_confirmation_ && applied_index_ >= pending_confirmation_->index) {
+    state_confirmed_at_ =
+        std::max(state_confirmed_at_.value_or(TimePoint::min()),
+                 pending_confirmation_->at);
+    pending_confirmation_.reset();
+  }
   if (log_.members_index() != reported_members_index_) {
     reported_members_index_ = log_.members_index();
     actions->push_back(MembersAction{members()});
--- a/src/limpethatch/process/consensus.h
+++ b/src/limpethatch/process/consensus.h
@@ -63,6 +63,10 @@
     std::optional<TimePoint> chunk_sent_at = std::nullopt;
     // When the latest of the messages that the peer has answered was sent.
     TimePoint last_acked_sent_at{};
+    // When the peer sent its latest append reply, by its own clock, and its
+    // session then; 0 if there was none.
+    int64_t replied_at = 0;
+    uint64_t session = 0;
   };
 
   Consensus(ConsensusOptions options,
@@ -119,6 +123,11 @@
   // a message sent at that time or later. The applied state is then at least as
   // recent as what was committed at `since`. Needs no assumption on clocks.
   bool ConfirmedLeaderSince(TimePoint since, TimePoint now) const;
+  // The latest time known at which the applied state contained everything that
+  // had been committed; nullopt if there is none since the start. A follower
+  // derives it from a leader's message that echoes one of its own replies:
+  // whatever the delays, the leader was confirmed by a quorum after that reply.
+  std::optional<TimePoint> StateConfirmedAt(TimePoint now) const;
   // True if the leader has announced a commit index beyond what is applied
   // here, or if no leader has been heard from since the start.
   bool IsBehindLeader() const {
@@ -174,6 +183,11 @@
   void AppendAsLeader(wire::LogEntry entry);
   void SendAppend(const std::string& to, TimePoint now);
   void SendHeartbeat(const std::string& to, TimePoint now);
+  // Adds what lets the receiver compute StateConfirmedAt().
+  void AddConfirmation(const Progress& peer,
+                       TimePoint now,
+                       wire::Append* append) const;
+  void RecordConfirmation(const wire::Append& append, TimePoint now);
   void SendSnapshotChunk(const std::string& to, TimePoint now);
   SharedSnapshot MakeSnapshot(uint64_t index, ByteRope state) const;
   void OnAppend(const wire::ConsensusMessage& message, TimePoint now);
@@ -182,7 +196,7 @@
   void OnSnapshotChunk(const wire::ConsensusMessage& message, TimePoint now);
   void OnSnapshotReply(const wire::ConsensusMessage& message, TimePoint now);
   void FinishSnapshot(const wire::SnapshotChunk& chunk);
-  void ReplyToAppend(const std::string& to, int64_t sent_at);
+  void ReplyToAppend(const std::string& to, int64_t sent_at, TimePoint now);
   void AdvanceCommit();
   void TickLeader(TimePoint now);
   Progress* FindProgress(const wire::ConsensusMessage& message);
@@ -224,6 +238,14 @@
   uint64_t applied_index_ = 0;
   // As announced by the latest leader; 0 if none has been heard from.
   uint64_t leader_commit_index_ = 0;
+  // The state after `index` is confirmed as of `at`.
+  struct Confirmation {
+    uint64_t index = 0;
+    TimePoint at;
+  };
+  // As announced by a leader; waits until the index is applied.
+  std::optional<Confirmation> pending_confirmation_;
+  std::optional<TimePoint> state_confirmed_at_;
   // The log is known to equal the present leader's log up to this index.
   uint64_t verified_index_ = 0;
   TimePoint refuse_votes_until_;
--- a/src/limpethatch/process/consensus_replication.cc
+++ b/src/limpethatch/process/consensus_replication.cc
@@ -1,5 +1,6 @@
 // Replication of the log and its snapshot from the leader to its peers.
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "limpethatch/process/consensus.h"
@@ -71,6 +72,7 @@
   append.set_previous_term(*previous_term);
   append.set_commit(commit_index_);
   append.set_sent_at(ToWireTime(now));
+  AddConfirmation(peer, now, &append);
   size_t bytes = 0;
   const uint64_t limit =
       std::min(log_.last_index(), peer.match + kMaxInFlightEntries);
@@ -87,9 +89,47 @@
   wire::ConsensusMessage message = NewMessage();
   message.mutable_append()->set_commit(commit_index_);
   message.mutable_append()->set_sent_at(ToWireTime(now));
+  AddConfirmation(progress_[to], now, message.mutable_append());
   Send(to, std::move(message));
 }
 
+void Consensus::AddConfirmation(const Progress& peer,
+                                TimePoint now,
+                                wire::Append* append) const {
+  const TimePoint confirmed_at = QuorumAckTime(now);
+  if (commit_index_ < term_start_index_ || confirmed_at == TimePoint()) {
+    return;
+  }
+  append->set_quorum_age_ms(static_cast<uint64_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(now - confirmed_at)
+          .count()));
+  append->set_echoed_reply_at(peer.replied_at);
+  append->set_echoed_session(peer.session);
+}
+
+void Consensus::RecordConfirmation(const wire::Append& append, TimePoint now) {
+  const TimePoint echoed(Duration(append.echoed_reply_at()));
+  if (pending_confirmation_ || !append.has_quorum_age_ms() ||
+      append.echoed_session() != hard_state_.session() || echoed > now) {
+    return;
+  }
+  // Rounded up, as the rates of two clocks may differ by a tenth.
+  const Duration quorum_age =
+      std::chrono::milliseconds(append.quorum_age_ms()) * 10 / 9;
+  pending_confirmation_ = {append.commit(), echoed - quorum_age};
+}
+
+std::optional<TimePoint> Consensus::StateConfirmedAt(TimePoint now) const {
+  if (!leading()) {
+    return state_confirmed_at_;
+  }
+  const TimePoint confirmed_at = QuorumAckTime(now);
+  const bool complete =
+      commit_index_ >= term_start_index_ && applied_index_ == commit_index_;
+  return complete && confirmed_at != TimePoint() ? std::optional(confirmed_at)
+                                                 : std::nullopt;
+}
+
 void Consensus::SendSnapshotChunk(const std::string& to, TimePoint now) {
   if (!snapshot_to_send_ || snapshot_to_send_->index < log_.snapshot_index()) {
     state_requested_ = true;
@@ -125,11 +165,13 @@
   leader_ = message.from();
   refuse_votes_until_ = now + options_.election_timeout;
   leader_commit_index_ = append.commit();
+  RecordConfirmation(append, now);
   const uint64_t previous = append.previous_index();
   const std::optional<uint64_t> own_term = log_.TermAt(previous);
   if (previous >= log_.snapshot_index() && own_term != append.previous_term()) {
     wire::ConsensusMessage reply = NewMessage();
     reply.mutable_append_reply()->set_sent_at(append.sent_at());
+    reply.mutable_append_reply()->set_replied_at(ToWireTime(now));
     uint64_t hint = std::min(log_.last_index(), previous - 1);
     while (own_term && hint > commit_index_ && log_.TermAt(hint) == own_term) {
       --hint;
@@ -141,7 +183,7 @@
   StoreEntries(append);
   commit_index_ =
       std::max(commit_index_, std::min(append.commit(), verified_index_));
-  ReplyToAppend(message.from(), append.sent_at());
+  ReplyToAppend(message.from(), append.sent_at(), now);
 }
 
 void Consensus::StoreEntries(const wire::Append& append) {
@@ -165,12 +207,15 @@
   verified_index_ = std::max({verified_index_, end, log_.snapshot_index()});
 }
 
-void Consensus::ReplyToAppend(const std::string& to, int64_t sent_at) {
+void Consensus::ReplyToAppend(const std::string& to,
+                              int64_t sent_at,
+                              TimePoint now) {
   wire::ConsensusMessage reply = NewMessage();
   reply.mutable_append_reply()->set_matched(true);
   reply.mutable_append_reply()->set_match(
       std::min(verified_index_, durable_index_));
   reply.mutable_append_reply()->set_sent_at(sent_at);
+  reply.mutable_append_reply()->set_replied_at(ToWireTime(now));
   Send(to, std::move(reply));
 }
 
@@ -200,6 +245,11 @@
   const wire::AppendReply& reply = message.append_reply();
   peer->last_acked_sent_at =
       std::max(peer->last_acked_sent_at, TimePoint(Duration(reply.sent_at())));
+  if (peer->session != message.session() ||
+      peer->replied_at < reply.replied_at()) {
+    peer->session = message.session();
+    peer->replied_at = reply.replied_at();
+  }
   if (!reply.matched()) {
     peer->next =
         std::max(peer->match + 1, std::min(peer->next, reply.hint() + 1));
@@ -245,7 +295,7 @@
   refuse_votes_until_ = now + options_.election_timeout;
   if (chunk.index() <= commit_index_) {
     verified_index_ = std::max(verified_index_, chunk.index());
-    ReplyToAppend(message.from(), chunk.sent_at());
+    ReplyToAppend(message.from(), chunk.sent_at(), now);
     return;
   }
   if (incoming_snapshot_index_ != chunk.index()) {
--- a/src/limpethatch/process/log.cc
+++ b/src/limpethatch/process/log.cc
@@ -155,6 +155,10 @@
 LogField::LogField(std::string_view key, double number)
     : key_(key), json_(fmt::format("{:.6g}", number)) {}
 
+LogField::LogField(std::string_view key,
+                   std::optional<std::chrono::milliseconds> time)
+    : key_(key), json_(time ? std::to_string(time->count()) : "null") {}
+
 void ConfigureLog(std::string_view program,
                   std::string_view instance,
                   LogLevel min_level,
--- a/src/limpethatch/process/log.h
+++ b/src/limpethatch/process/log.h
@@ -5,9 +5,11 @@
 #ifndef LIMPETHATCH_PROCESS_LOG_H_
 #define LIMPETHATCH_PROCESS_LOG_H_
 
+#include <chrono>
 #include <concepts>
 #include <cstdint>
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,6 +27,8 @@
   template <std::integral T>
   LogField(std::string_view key, T number)
       : key_(key), json_(std::to_string(number)) {}
+  // The JSON text is null if there is no value.
+  LogField(std::string_view key, std::optional<std::chrono::milliseconds> time);
 
   std::string_view key() const { return key_; }
   // The value as JSON text.
--- a/src/programs/control/fleet_metrics.cc
+++ b/src/programs/control/fleet_metrics.cc
@@ -22,6 +22,9 @@
         consensus ? static_cast<double>(consensus->commit_index()) : 0);
   gauge("limpethatch_configuration_version", "Configuration in force here.",
         static_cast<double>(ledger().configuration().version()));
+  gauge("limpethatch_quorum_contact",
+        "1 while the state here is known to be recent.",
+        HasQuorumContact(Clock::now()) ? 1 : 0);
   gauge("limpethatch_gateways", "Gateways that ask this instance for news.",
         static_cast<double>(watchers_.size()));
   gauge("limpethatch_targets", "Targets known, tombstones included.",
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -114,6 +114,7 @@
   });
   timers_.Every(kLeaderTaskPeriod, [this](TimePoint now) {
     UpdateCaughtUpTime(now);
+    TrackQuorumContact(now);
     RunLeaderTasks(now);
   });
   timers_.Every(kPendingReadPeriod, [this](TimePoint now) {
@@ -177,6 +178,34 @@
              kLeaderContactTimeout;
 }
 
+std::optional<milliseconds> FleetService::StateAge(TimePoint now) const {
+  const Consensus* consensus = replica_.consensus();
+  if (!consensus) {
+    return std::nullopt;
+  }
+  const std::optional<TimePoint> confirmed_at =
+      consensus->StateConfirmedAt(now);
+  if (!confirmed_at) {
+    return std::nullopt;
+  }
+  return std::chrono::ceil<milliseconds>(now - *confirmed_at);
+}
+
+void FleetService::TrackQuorumContact(TimePoint now) {
+  const bool has_contact = HasQuorumContact(now);
+  if (has_contact == had_quorum_contact_) {
+    return;
+  }
+  had_quorum_contact_ = has_contact;
+  const Consensus* consensus = replica_.consensus();
+  Log(LogLevel::kInfo,
+      has_contact ? "quorum_contact_established" : "quorum_contact_lost",
+      {{"leader", consensus ? consensus->leader() : ""},
+       {"term", consensus ? consensus->term() : 0},
+       {"state_age_ms", StateAge(now)},
+       {"configuration", ledger().configuration().version()}});
+}
+
 bool FleetService::Receive(const wire::Envelope& envelope) {
   if (envelope.has_control_digest()) {
     Receive(envelope.control_digest());
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -5,6 +5,7 @@
 #ifndef LIMPETHATCH_PROGRAMS_CONTROL_FLEET_SERVICE_H_
 #define LIMPETHATCH_PROGRAMS_CONTROL_FLEET_SERVICE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -105,6 +106,11 @@
   // True if this replica holds the leader's lease, or has recent contact to a
   // leader and does not lag behind it.
   bool HasQuorumContact(TimePoint now) const;
+  // The longest time for which the applied state may have been out of date;
+  // nullopt if that is unknown.
+  std::optional<std::chrono::milliseconds> StateAge(TimePoint now) const;
+  // Logs when quorum contact was gained or lost since the last call.
+  void TrackQuorumContact(TimePoint now);
 
   // Control instances.
   void Receive(const wire::ControlDigest& digest);
@@ -182,6 +188,7 @@
   // min() if never.
   TimePoint last_caught_up_at_ = TimePoint::min();
   uint64_t pushed_configuration_version_ = 0;
+  bool had_quorum_contact_ = false;  // As of the last log line.
 
   std::vector<PendingJobQuery> pending_job_queries_;
   std::vector<PendingConfigurationRead> pending_configuration_reads_;
--- a/src/programs/control/fleet_targets.cc
+++ b/src/programs/control/fleet_targets.cc
@@ -155,6 +155,9 @@
   wire::FleetNews& news = *envelope.mutable_fleet_news();
   news.set_from(settings_.peers.ToString());
   news.set_quorum_contact(HasQuorumContact(now));
+  if (const std::optional<milliseconds> age = StateAge(now)) {
+    news.set_state_age_ms(static_cast<uint64_t>(age->count()));
+  }
   news.set_epoch(epoch_);
   news.set_base_revision(watcher.revision);
   news.set_revision(targets_.revision());
--- a/src/programs/gateway/fleet_subscriber.cc
+++ b/src/programs/gateway/fleet_subscriber.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <utility>
 
 #include "envelope.pb.h"
@@ -17,6 +18,13 @@
 constexpr Duration kReplyTimeout = std::chrono::milliseconds(300);
 constexpr Duration kCheckPeriod = std::chrono::milliseconds(100);
 
+std::optional<std::chrono::milliseconds> StateAge(const wire::FleetNews& news) {
+  if (!news.has_state_age_ms()) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(news.state_age_ms());
+}
+
 }  // namespace
 
 FleetSubscriber::FleetSubscriber(TimerService& timers,
@@ -95,7 +103,10 @@
       (!routes_ || news.configuration().version() > routes_->version())) {
     routes_ = std::make_shared<RouteTable>(news.configuration());
     Log(LogLevel::kInfo, "configuration_in_force",
-        {{"version", routes_->version()}, {"from", news.from()}});
+        {{"version", routes_->version()},
+         {"from", news.from()},
+         {"quorum_contact", news.quorum_contact()},
+         {"state_age_ms", StateAge(news)}});
   }
   if (news.from() != control_instances_[current_index_].ToString()) {
     return;
@@ -113,7 +124,7 @@
     Log(LogLevel::kInfo,
         has_quorum_contact_ ? "quorum_contact_established"
                             : "quorum_contact_lost",
-        {{"control", news.from()}});
+        {{"control", news.from()}, {"state_age_ms", StateAge(news)}});
   }
   if (!news.quorum_contact() && control_instances_.size() > 1) {
     // Switches with the next periodic check and not at once, as all control
--- a/tests/process/consensus_simulation.cc
+++ b/tests/process/consensus_simulation.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace limpethatch {
@@ -108,6 +109,7 @@
     }
   }
   CheckLeaders();
+  CheckConfirmedStates();
 }
 
 void ConsensusSimulation::Deliver() {
@@ -212,6 +214,8 @@
       waiting->second ==
           std::pair<uint64_t, std::string>(entry.term(), entry.command())) {
     acknowledged_.insert(entry.command());
+    size_t& newest = acknowledged_by_time_[elapsed_];
+    newest = std::max(newest, node.applied.size());
   }
 }
 
@@ -278,6 +282,30 @@
   }
 }
 
+// A state that is confirmed as of some time holds every command that was
+// acknowledged before it.
+void ConsensusSimulation::CheckConfirmedStates() {
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    const Node& node = nodes_[i];
+    const std::optional<TimePoint> confirmed_at =
+        node.consensus && !node.frozen
+            ? node.consensus->StateConfirmedAt(now(i))
+            : std::nullopt;
+    if (!confirmed_at) {
+      continue;
+    }
+    const Duration ticks =
+        confirmed_at->time_since_epoch() - std::chrono::hours(1);
+    const Duration confirmed(static_cast<Duration::rep>(
+        static_cast<double>(ticks.count()) / node.clock_rate));
+    const auto later = acknowledged_by_time_.lower_bound(confirmed);
+    if (later != acknowledged_by_time_.begin() &&
+        std::prev(later)->second > node.applied.size()) {
+      RecordViolation(node.id + " confirms a state that lacks commands");
+    }
+  }
+}
+
 void ConsensusSimulation::CheckLogsMatch() {
   std::map<std::pair<uint64_t, uint64_t>, std::string> entries;
   for (const Node& node : nodes_) {
--- a/tests/process/consensus_simulation.h
+++ b/tests/process/consensus_simulation.h
@@ -116,6 +116,7 @@
   void Transmit(size_t from, const SendAction& send);
   void Apply(size_t replica, const wire::LogEntry& entry);
   void CheckLeaders();
+  void CheckConfirmedStates();
   void RecordViolation(const std::string& what);
   size_t IndexOf(const std::string& id) const;
   bool RandomBool(double probability);
@@ -130,6 +131,9 @@
   std::map<uint64_t, std::string> history_;  // Term and command by index.
   std::vector<std::string> commands_in_order_;
   std::set<std::string> acknowledged_;
+  // Number of commands up to the newest acknowledged one, by the time of that
+  // acknowledgement.
+  std::map<Duration, size_t> acknowledged_by_time_;
   std::string violation_;
 };
 
--- a/tests/process/consensus_test.cc
+++ b/tests/process/consensus_test.cc
@@ -250,4 +250,83 @@
   }));
 }
 
+// Gateways must not take the configuration of a replica that is told of no more
+// changes.
+Test(consensus, a_removed_replica_no_longer_confirms_its_state) {
+  ConsensusSimulation simulation(4, 31);
+  CommitCommands(simulation);
+  const size_t leader = *simulation.Leader();
+  const size_t removed = (leader + 1) % 4;
+  cr_assert(!simulation.at(leader).RemoveReplica(simulation.id(removed),
+                                                 simulation.now(leader)));
+  simulation.Run(milliseconds(100));
+  const TimePoint removed_at = simulation.now(removed);
+  simulation.Run(seconds(5));
+  cr_assert(simulation.Propose());
+  simulation.Run(seconds(1));
+  cr_assert_lt(simulation.applied(removed).size(),
+               simulation.applied(leader).size());
+  const auto confirmed_at =
+      simulation.at(removed).StateConfirmedAt(simulation.now(removed));
+  cr_assert(confirmed_at && *confirmed_at <= removed_at);
+}
+
+// The same for a replica whose addition was begun by a leader that was replaced
+// before it could commit the change.
+Test(consensus, a_replica_that_was_added_in_vain_does_not_confirm_its_state) {
+  ConsensusSimulation simulation(4, 32, 3);
+  cr_assert(simulation.RunUntil(
+      seconds(5), [&] { return simulation.Leader().has_value(); }));
+  simulation.Run(seconds(1));
+  const size_t old = *simulation.Leader();
+  const size_t added = 3;
+  for (size_t i = 0; i < 3; ++i) {
+    simulation.SetIsolated(i, i != old);
+  }
+  simulation.at(old).AddContact(simulation.id(added));
+  cr_assert(!simulation.at(old).AddReplica(simulation.id(added), "",
+                                           simulation.now(old)));
+  simulation.Run(milliseconds(200));
+  simulation.SetFrozen(old, true);
+  for (size_t i = 0; i < 3; ++i) {
+    simulation.SetIsolated(i, false);
+  }
+  cr_assert(simulation.RunUntil(
+      seconds(5), [&] { return simulation.Leader().has_value(); }));
+  const TimePoint replaced_at = simulation.now(added);
+  simulation.SetFrozen(old, false);
+  simulation.Run(seconds(5));
+  cr_assert(simulation.Propose());
+  simulation.Run(seconds(1));
+  const auto confirmed_at =
+      simulation.at(added).StateConfirmedAt(simulation.now(added));
+  cr_assert(!confirmed_at || *confirmed_at <= replaced_at);
+}
+
+Test(consensus, followers_confirm_their_state_while_they_hear_the_leader) {
+  ConsensusSimulation simulation(3, 33);
+  CommitCommands(simulation);
+  for (int i = 0; i < 50; ++i) {
+    simulation.Propose();
+    simulation.Run(milliseconds(37));
+    for (size_t replica = 0; replica < 3; ++replica) {
+      const TimePoint now = simulation.now(replica);
+      const auto confirmed_at = simulation.at(replica).StateConfirmedAt(now);
+      cr_assert(confirmed_at && now - *confirmed_at < milliseconds(200));
+    }
+  }
+}
+
+// Delays must not make an old state look recent.
+Test(consensus, a_follower_with_late_messages_knows_how_old_its_state_is) {
+  ConsensusSimulation simulation(3, 34);
+  CommitCommands(simulation);
+  simulation.faults.max_delay = milliseconds(400);
+  for (int i = 0; i < 100; ++i) {
+    simulation.Propose();
+    simulation.Run(milliseconds(50));
+  }
+  cr_assert_str_empty(simulation.violation().c_str());
+}
+
 }  // namespace limpethatch
