Serve gateways only from control instances whose state is known to be recent

Cause: a control instance counted as in contact with the quorum while it knew of no newer commit index and had received any message of the leader it last followed. An instance that was removed from the group, or whose addition was abandoned when the leader was replaced, is told of no commit index any more, but still gets the digests of all others. It went on serving its last configuration as current: for about a second after a removal, and without end after an abandoned addition. Gateways made it worse: told that contact was lost only at their next watch request, they then tried instances that are gone for good, 0.4 s each, and a gateway that had just started took its first configuration from anyone.

Change: quorum contact of a follower follows from StateConfirmedAt, at most 0.6 s old. When it is lost, the gateways are told at once. They go on to an instance that the last recent one could reach, and take their first configuration without quorum contact only when no instance has it.

The test of IsBehindLeader, which nothing uses any more, asserts the same of StateConfirmedAt.

--- a/src/limpethatch/process/consensus.h
+++ b/src/limpethatch/process/consensus.h
@@ -128,12 +128,6 @@
   // derives it from a leader's message that echoes one of its own replies:
   // whatever the delays, the leader was confirmed by a quorum after that reply.
   std::optional<TimePoint> StateConfirmedAt(TimePoint now) const;
-  // True if the leader has announced a commit index beyond what is applied
-  // here, or if no leader has been heard from since the start.
-  bool IsBehindLeader() const {
-    return !leading() &&
-           (leader_commit_index_ == 0 || applied_index_ < leader_commit_index_);
-  }
   // True if the latest known members are committed, not only proposed.
   bool MembersCommitted() const {
     return log_.members_index() <= commit_index_;
@@ -236,8 +230,6 @@
   std::string leader_;
   uint64_t commit_index_ = 0;
   uint64_t applied_index_ = 0;
-  // As announced by the latest leader; 0 if none has been heard from.
-  uint64_t leader_commit_index_ = 0;
   // The state after `index` is confirmed as of `at`.
   struct Confirmation {
     uint64_t index = 0;
--- a/src/limpethatch/process/consensus_replication.cc
+++ b/src/limpethatch/process/consensus_replication.cc
@@ -164,7 +164,6 @@
   BecomeFollower(message.term(), now);
   leader_ = message.from();
   refuse_votes_until_ = now + options_.election_timeout;
-  leader_commit_index_ = append.commit();
   RecordConfirmation(append, now);
   const uint64_t previous = append.previous_index();
   const std::optional<uint64_t> own_term = log_.TermAt(previous);
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -21,13 +21,11 @@
 constexpr Duration kDigestPeriod = milliseconds(250);
 // All targets are sent again at this period, in case a digest was lost.
 constexpr Duration kFullDigestPeriod = std::chrono::seconds(3);
-// A follower is in contact with the quorum if it has heard from its leader
-// within this time, which is two election timeouts.
-constexpr Duration kLeaderContactTimeout = milliseconds(1000);
-// A replica that has lagged behind the leader for this long reports that it has
-// no quorum contact, so that gateways use another one. A replica that restarts
-// with an empty disk has to catch up first.
-constexpr Duration kMaxLag = milliseconds(600);
+// A replica whose state may be older than this has no quorum contact, so that
+// gateways use another one: it lags behind, has just restarted, is cut off, or
+// was removed from the group. A fraction of the time within which a
+// configuration has to be in force.
+constexpr milliseconds kMaxStateAge{600};
 // Gateways renew their watch at least every second.
 constexpr Duration kWatcherTimeout = std::chrono::seconds(4);
 constexpr Duration kLeaderTaskPeriod = milliseconds(50);
@@ -113,7 +111,6 @@
     targets_.Expire(now);
   });
   timers_.Every(kLeaderTaskPeriod, [this](TimePoint now) {
-    UpdateCaughtUpTime(now);
     TrackQuorumContact(now);
     RunLeaderTasks(now);
   });
@@ -156,13 +153,6 @@
          consensus->applied_index() == consensus->commit_index();
 }
 
-void FleetService::UpdateCaughtUpTime(TimePoint now) {
-  if (const Consensus* consensus = replica_.consensus();
-      consensus && !consensus->IsBehindLeader()) {
-    last_caught_up_at_ = now;
-  }
-}
-
 bool FleetService::HasQuorumContact(TimePoint now) const {
   const Consensus* consensus = replica_.consensus();
   if (!consensus) {
@@ -171,11 +161,8 @@
   if (consensus->leading()) {
     return consensus->HoldsLease(now);
   }
-  const bool recently_caught_up = last_caught_up_at_ != TimePoint::min() &&
-                                  now - last_caught_up_at_ < kMaxLag;
-  return recently_caught_up && !consensus->leader().empty() &&
-         now - replica_.LastContactAt(consensus->leader()) <
-             kLeaderContactTimeout;
+  const std::optional<milliseconds> age = StateAge(now);
+  return age && *age < kMaxStateAge;
 }
 
 std::optional<milliseconds> FleetService::StateAge(TimePoint now) const {
@@ -204,6 +191,10 @@
        {"term", consensus ? consensus->term() : 0},
        {"state_age_ms", StateAge(now)},
        {"configuration", ledger().configuration().version()}});
+  if (!has_contact) {
+    // So that gateways leave now and not at their next periodic watch request.
+    ScheduleNewsPush();
+  }
 }
 
 bool FleetService::Receive(const wire::Envelope& envelope) {
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -101,15 +101,14 @@
   // True if this replica leads, holds its lease and has applied all committed
   // entries.
   bool IsActiveLeader(TimePoint now) const;
-  // Records when this replica had last applied all that the leader committed.
-  void UpdateCaughtUpTime(TimePoint now);
-  // True if this replica holds the leader's lease, or has recent contact to a
-  // leader and does not lag behind it.
+  // True if this replica holds the leader's lease, or if its state is known to
+  // be recent.
   bool HasQuorumContact(TimePoint now) const;
   // The longest time for which the applied state may have been out of date;
   // nullopt if that is unknown.
   std::optional<std::chrono::milliseconds> StateAge(TimePoint now) const;
-  // Logs when quorum contact was gained or lost since the last call.
+  // Logs when quorum contact was gained or lost since the last call, and tells
+  // gateways when it was lost.
   void TrackQuorumContact(TimePoint now);
 
   // Control instances.
@@ -184,9 +183,6 @@
   std::map<std::string, Peer> peers_;        // Other control instances by id.
   std::map<std::string, Watcher> watchers_;  // Gateways by instance id.
   bool push_scheduled_ = false;
-  // When this replica had last applied all that the leader had committed;
-  // min() if never.
-  TimePoint last_caught_up_at_ = TimePoint::min();
   uint64_t pushed_configuration_version_ = 0;
   bool had_quorum_contact_ = false;  // As of the last log line.
 
--- a/src/programs/gateway/fleet_subscriber.cc
+++ b/src/programs/gateway/fleet_subscriber.cc
@@ -34,8 +34,10 @@
     : timers_(timers),
       messenger_(messenger),
       settings_(settings),
-      callbacks_(std::move(callbacks)),
-      control_instances_(settings.ControlEndpoints()) {
+      callbacks_(std::move(callbacks)) {
+  for (const Endpoint& endpoint : settings.ControlEndpoints()) {
+    AddControlInstance(endpoint);
+  }
   // Spreads the gateways over the control instances.
   current_index_ =
       std::hash<std::string>()(settings.process.id) % control_instances_.size();
@@ -47,9 +49,11 @@
 }
 
 void FleetSubscriber::AddControlInstance(const Endpoint& control_instance) {
-  if (std::find(control_instances_.begin(), control_instances_.end(),
-                control_instance) == control_instances_.end()) {
-    control_instances_.push_back(control_instance);
+  if (std::none_of(control_instances_.begin(), control_instances_.end(),
+                   [&](const ControlInstance& known) {
+                     return known.endpoint == control_instance;
+                   })) {
+    control_instances_.push_back({.endpoint = control_instance});
   }
 }
 
@@ -57,21 +61,52 @@
   const Duration elapsed = now - watch_sent_at_;
   if (!reply_received_ && elapsed >= kReplyTimeout) {
     reply_missed_ = true;
-    messenger_.Reset(control_instances_[current_index_]);
-    SwitchControlInstance("no_answer", now);
+    messenger_.Reset(current().endpoint);
+    Log(LogLevel::kInfo, "control_instance_abandoned",
+        {{"control", current().endpoint.ToString()}, {"reason", "no_answer"}});
+    SwitchControlInstance(now);
   } else if (reply_received_ && elapsed >= kWatchPeriod) {
     SendWatch(now);
   }
 }
 
-void FleetSubscriber::SwitchControlInstance(std::string_view reason,
-                                            TimePoint now) {
-  Log(LogLevel::kInfo, "control_instance_abandoned",
-      {{"control", control_instances_[current_index_].ToString()},
-       {"reason", reason}});
+size_t FleetSubscriber::NextControlInstance() const {
+  const size_t count = control_instances_.size();
+  std::optional<size_t> untried;
+  for (size_t step = 1; step < count; ++step) {
+    const size_t index = (current_index_ + step) % count;
+    const ControlInstance& candidate = control_instances_[index];
+    if (!candidate.tried && candidate.reachable) {
+      return index;
+    }
+    if (!candidate.tried && !untried) {
+      untried = index;
+    }
+  }
+  return untried.value_or((current_index_ + 1) % count);
+}
+
+void FleetSubscriber::SwitchControlInstance(TimePoint now) {
   has_quorum_contact_ = false;
-  current_index_ = (current_index_ + 1) % control_instances_.size();
-  SendWatch(now);
+  current().tried = true;
+  const bool all_tried =
+      std::all_of(control_instances_.begin(), control_instances_.end(),
+                  [](const ControlInstance& known) { return known.tried; });
+  current_index_ = NextControlInstance();
+  if (!all_tried) {
+    SendWatch(now);
+    return;
+  }
+  for (ControlInstance& known : control_instances_) {
+    known.tried = false;
+  }
+  if (!routes_ && unconfirmed_news_) {
+    PutInForce(*unconfirmed_news_);
+  }
+  // The next round begins with the next periodic check and not at once, as all
+  // control instances may be without a quorum.
+  reply_received_ = true;
+  watch_sent_at_ = now - kWatchPeriod;
 }
 
 void FleetSubscriber::SendWatch(TimePoint now) {
@@ -85,8 +120,7 @@
   watch.set_answer_missed(std::exchange(reply_missed_, false));
   watch_sent_at_ = now;
   reply_received_ = false;
-  messenger_.Send(control_instances_[current_index_],
-                  envelope.SerializeAsString());
+  messenger_.Send(current().endpoint, envelope.SerializeAsString());
 }
 
 void FleetSubscriber::OnFleetNews(const wire::FleetNews& news) {
@@ -98,27 +132,24 @@
     }
   }
   // A newer configuration is accepted from any control instance, as versions
-  // only increase.
+  // only increase. The first one must be recent, though.
   if (news.has_configuration() &&
       (!routes_ || news.configuration().version() > routes_->version())) {
-    routes_ = std::make_shared<RouteTable>(news.configuration());
-    Log(LogLevel::kInfo, "configuration_in_force",
-        {{"version", routes_->version()},
-         {"from", news.from()},
-         {"quorum_contact", news.quorum_contact()},
-         {"state_age_ms", StateAge(news)}});
-  }
-  if (news.from() != control_instances_[current_index_].ToString()) {
+    if (routes_ || news.quorum_contact()) {
+      PutInForce(news);
+    } else {
+      OfferUnconfirmed(news);
+    }
+  }
+  if (news.from() != current().endpoint.ToString()) {
     return;
   }
+  const TimePoint now = Clock::now();
   reply_received_ = true;
   if (news.base_revision() == 0 || news.epoch() != epoch_ ||
       news.base_revision() <= revision_) {
     ApplyTargets(news);
   }
-  if (news.quorum_contact()) {
-    last_quorum_contact_at_ = Clock::now();
-  }
   if (has_quorum_contact_ != news.quorum_contact()) {
     has_quorum_contact_ = news.quorum_contact();
     Log(LogLevel::kInfo,
@@ -126,15 +157,38 @@
                             : "quorum_contact_lost",
         {{"control", news.from()}, {"state_age_ms", StateAge(news)}});
   }
-  if (!news.quorum_contact() && control_instances_.size() > 1) {
-    // Switches with the next periodic check and not at once, as all control
-    // instances may be without a quorum.
-    reply_received_ = true;
-    current_index_ = (current_index_ + 1) % control_instances_.size();
-    watch_sent_at_ = Clock::now() - kWatchPeriod;
+  if (!news.quorum_contact()) {
+    SwitchControlInstance(now);
+    return;
+  }
+  last_quorum_contact_at_ = now;
+  for (ControlInstance& known : control_instances_) {
+    known.tried = false;
+    known.reachable =
+        std::find(news.control_endpoints().begin(),
+                  news.control_endpoints().end(),
+                  known.endpoint.ToString()) != news.control_endpoints().end();
   }
 }
 
+void FleetSubscriber::OfferUnconfirmed(const wire::FleetNews& news) {
+  if (!unconfirmed_news_ || unconfirmed_news_->configuration().version() <
+                                news.configuration().version()) {
+    unconfirmed_news_ = news;
+    unconfirmed_news_->clear_targets();
+  }
+}
+
+void FleetSubscriber::PutInForce(const wire::FleetNews& news) {
+  routes_ = std::make_shared<RouteTable>(news.configuration());
+  Log(LogLevel::kInfo, "configuration_in_force",
+      {{"version", routes_->version()},
+       {"from", news.from()},
+       {"quorum_contact", news.quorum_contact()},
+       {"state_age_ms", StateAge(news)}});
+  unconfirmed_news_.reset();
+}
+
 void FleetSubscriber::ApplyTargets(const wire::FleetNews& news) {
   if (news.epoch() != epoch_ && news.base_revision() != 0) {
     return;  // An incremental update to a target table of another epoch.
--- a/src/programs/gateway/fleet_subscriber.h
+++ b/src/programs/gateway/fleet_subscriber.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,9 +52,24 @@
   }
 
  private:
+  struct ControlInstance {
+    Endpoint endpoint;
+    // Named by the last news of an instance in contact with a quorum.
+    bool reachable = false;
+    // Asked in vain since the last contact, or in this round of all instances.
+    bool tried = false;
+  };
+
+  ControlInstance& current() { return control_instances_[current_index_]; }
   void SendWatch(TimePoint now);
   void CheckReply(TimePoint now);
-  void SwitchControlInstance(std::string_view reason, TimePoint now);
+  // Goes to the next instance: one that is reachable if possible, and none a
+  // second time before all have been tried.
+  void SwitchControlInstance(TimePoint now);
+  size_t NextControlInstance() const;
+  // Keeps the configuration for the case that no instance has quorum contact.
+  void OfferUnconfirmed(const wire::FleetNews& news);
+  void PutInForce(const wire::FleetNews& news);
   void ApplyTargets(const wire::FleetNews& news);
   void RebuildTargetTable();
 
@@ -61,7 +77,7 @@
   Messenger& messenger_;
   const GatewaySettings& settings_;
   Callbacks callbacks_;
-  std::vector<Endpoint> control_instances_;
+  std::vector<ControlInstance> control_instances_;
   size_t current_index_ = 0;
   TimePoint watch_sent_at_;
   bool reply_received_ = false;
@@ -75,6 +91,9 @@
   std::map<std::string, wire::TargetRecord> target_records_;
   TargetTable target_table_;
   RouteTablePtr routes_;
+  // The newest news with a configuration from instances without quorum contact;
+  // null once a configuration is in force.
+  std::optional<wire::FleetNews> unconfirmed_news_;
 };
 
 }  // namespace limpethatch
--- /dev/null
+++ b/tests/gateway/fleet_subscriber_test.cc
@@ -0,0 +1,112 @@
+#include "programs/gateway/fleet_subscriber.h"
+
+#include <boost/asio/io_context.hpp>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+namespace limpethatch {
+namespace {
+
+// A subscriber whose watch requests go nowhere; the tests hand it the news.
+class SubscriberFixture {
+ public:
+  SubscriberFixture() { subscriber.Start(); }
+
+  static GatewaySettings Settings() {
+    GatewaySettings settings;
+    settings.process.id = "gateway";
+    settings.peers = {"127.0.0.1", 7000};
+    // Only the hosts are used.
+    settings.seeds = {{"127.0.0.2", 1}, {"127.0.0.3", 1}, {"127.0.0.4", 1}};
+    return settings;
+  }
+
+  // Hands over news from the control instance at `host`.
+  void Receive(const std::string& host, bool quorum_contact, uint64_t version) {
+    wire::FleetNews news;
+    news.set_from(host + ":7000");
+    news.set_quorum_contact(quorum_contact);
+    news.set_epoch(1);
+    news.mutable_configuration()->set_version(version);
+    for (const std::string& reachable : reachable_hosts) {
+      news.add_control_endpoints(reachable + ":7000");
+    }
+    subscriber.OnFleetNews(news);
+  }
+  uint64_t version() const {
+    return subscriber.routes() ? subscriber.routes()->version() : 0;
+  }
+  // The host from which quorum contact counts now. Changes the contact.
+  std::string CurrentHost() {
+    for (const std::string& host : hosts) {
+      Receive(host, true, 1);
+      if (subscriber.has_quorum_contact()) {
+        return host;
+      }
+    }
+    return "";
+  }
+
+  const std::vector<std::string> hosts{"127.0.0.2", "127.0.0.3", "127.0.0.4"};
+  std::vector<std::string> reachable_hosts = hosts;
+  boost::asio::io_context io;
+  TimerService timers{io};
+  Messenger messenger{io, {}, [](std::string_view) {}};
+  const GatewaySettings settings = Settings();
+  FleetSubscriber subscriber{timers, messenger, settings, {[](auto&) {}}};
+};
+
+}  // namespace
+
+// A gateway that had just started took an old configuration from a control
+// instance that was not in the group any more.
+Test(fleet_subscriber, the_first_configuration_comes_with_quorum_contact) {
+  SubscriberFixture fixture;
+  fixture.Receive("127.0.0.2", false, 46);
+  fixture.Receive("127.0.0.3", false, 46);
+  cr_assert_eq(fixture.version(), 0);
+  fixture.Receive("127.0.0.4", true, 49);
+  cr_assert_eq(fixture.version(), 49);
+}
+
+// After a power failure gateways serve before a leader is elected.
+Test(fleet_subscriber, if_no_instance_has_quorum_contact_the_newest_is_used) {
+  SubscriberFixture fixture;
+  for (int round = 0; round < 3; ++round) {
+    fixture.Receive("127.0.0.2", false, 46);
+    fixture.Receive("127.0.0.3", false, 49);
+    fixture.Receive("127.0.0.4", false, 47);
+  }
+  cr_assert_eq(fixture.version(), 49);
+}
+
+Test(fleet_subscriber, a_configuration_in_force_is_never_replaced_by_an_older) {
+  SubscriberFixture fixture;
+  fixture.Receive("127.0.0.2", true, 49);
+  fixture.Receive("127.0.0.3", true, 46);
+  cr_assert_eq(fixture.version(), 49);
+  fixture.Receive("127.0.0.3", false, 50);
+  cr_assert_eq(fixture.version(), 50);
+}
+
+// Instances that were replaced cost a timeout each while a change was due.
+Test(fleet_subscriber, a_reachable_instance_is_asked_before_the_others) {
+  SubscriberFixture fixture;
+  const std::string first = fixture.CurrentHost();
+  for (const std::string& reachable : fixture.hosts) {
+    if (reachable == first) {
+      continue;
+    }
+    SubscriberFixture other;
+    other.reachable_hosts = {first, reachable};
+    cr_assert(other.CurrentHost() == first);
+    other.Receive(first, false, 1);
+    cr_assert_not(other.subscriber.has_quorum_contact());
+    other.Receive(reachable, true, 1);
+    cr_assert(other.subscriber.has_quorum_contact());
+  }
+}
+
+}  // namespace limpethatch
--- a/tests/process/consensus_disk_test.cc
+++ b/tests/process/consensus_disk_test.cc
@@ -52,26 +52,30 @@
 // Guards against a replica that serves an old configuration to gateways while
 // it catches up after the loss of its disk.
 Test(consensus_disk,
-     a_replica_with_an_empty_disk_is_behind_until_it_catches_up) {
+     a_replica_with_an_empty_disk_confirms_no_state_until_it_catches_up) {
   ConsensusSimulation simulation(3, 21);
   cr_assert(simulation.RunUntil(seconds(5),
                                 [&] { return simulation.HasRecovered(); }));
   const size_t lost = (*simulation.Leader() + 1) % 3;
+  const auto confirms_state = [&] {
+    return simulation.at(lost)
+        .StateConfirmedAt(simulation.now(lost))
+        .has_value();
+  };
   for (int i = 0; i < 50; ++i) {
     simulation.Propose();
     simulation.Run(milliseconds(20));
   }
-  cr_assert(!simulation.at(lost).IsBehindLeader());
+  cr_assert(confirms_state());
   simulation.Crash(lost);
   simulation.EraseDisk(lost);
   simulation.Start(lost);
-  cr_assert(simulation.at(lost).IsBehindLeader(),
-            "no leader has been heard from yet");
+  cr_assert_not(confirms_state(), "no leader has been heard from yet");
   cr_assert(simulation.RunUntil(seconds(5), [&] {
     const bool has_all = simulation.applied(lost).size() ==
                          simulation.applied(*simulation.Leader()).size();
-    cr_assert(has_all || simulation.at(lost).IsBehindLeader());
-    return !simulation.at(lost).IsBehindLeader();
+    cr_assert(has_all || !confirms_state());
+    return confirms_state();
   }));
 }
 
