Keep the rate limits that targets state

What back ends saw: a target that had stated how many requests a second it takes from all machines together got up to 2.5 times what the rule allows.

Cause: nothing read the limit. And a limit that each gateway kept for itself would not do: there are 13 to 104 of them, at limits of 1 to 5 a second.

Change: the leader grants a permit for each request to a target that states a limit (generic cell rate algorithm, at most 1.5 s of unused permits at once; a limit that is new to a leader starts without). Gateways report what answers state, learn of all limits with their news, and ask for a permit before they send; without one they take another target. If none is left, the request waits for its permit for half of its time at most, or is refused at once with the time after which one is free. Samples count towards the same limits.

--- a/src/limpethatch/version/sample_scheduler.cc
+++ b/src/limpethatch/version/sample_scheduler.cc
@@ -221,7 +221,8 @@
         engine.backoff > Duration::zero() && engine.running > 0;
     if (excluded || awaits_probe || engine.service != submit.service() ||
         !engine.Usable(now) || engine.running >= engine.slots ||
-        !fits_version || !fits_memory) {
+        rate_limits_.TimeToSend(id, now) > Duration::zero() || !fits_version ||
+        !fits_memory) {
       continue;
     }
     double relative_gap = 1.0;
@@ -257,6 +258,7 @@
   run.events = candidate.job->samples[candidate.key.index].output.events;
   run.expected_events = ExpectedEvents(submit, sample);
   run.last_progress = now;
+  rate_limits_.Acquire(engine.id, {}, now);
   ++engine.running;
   engine.reserved_tokens += run.tokens;
   ++engine.running_by_model[run.model];
--- a/src/limpethatch/version/sample_scheduler.h
+++ b/src/limpethatch/version/sample_scheduler.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "limpethatch/process/clock.h"
+#include "limpethatch/process/target_rate_limits.h"
 #include "limpethatch/version/engine_table.h"
 #include "limpethatch/version/job_ledger.h"
 
@@ -86,6 +87,10 @@
   explicit SampleScheduler(SampleSchedulerOptions options = {})
       : options_(options) {}
 
+  // Limits that starts must keep and count towards. Shared with live requests.
+  TargetRateLimits& rate_limits() { return rate_limits_; }
+  const TargetRateLimits& rate_limits() const { return rate_limits_; }
+
   EngineTable& engine_table() { return engine_table_; }
   void SetTokensPerEvent(const std::string& service, uint32_t tokens) {
     tokens_per_event_[service] = tokens;
@@ -149,6 +154,7 @@
 
   const SampleSchedulerOptions options_;
   EngineTable engine_table_;
+  TargetRateLimits rate_limits_;
   std::map<SampleKey, Run> runs_;
   std::map<SampleKey, RetryState> retry_states_;
   std::set<SampleKey> done_unlisted_;
--- a/src/programs/control/fleet_members.cc
+++ b/src/programs/control/fleet_members.cc
@@ -25,6 +25,9 @@
   self.set_name(settings_.name);
   self.set_zone(settings_.process.zone);
   self.set_stores(true);
+  if (IsActiveLeader(now)) {
+    *digest.mutable_target_rates() = EncodeRateLimits();
+  }
   for (const auto& [id, peer] : peers_) {
     if (now - peer.last_contact_at < kAliveTimeout) {
       wire::ControlInstanceRecord& known = *digest.add_known();
@@ -89,6 +92,9 @@
       UpdatePeer(record, TimePoint::min());
     }
   }
+  if (digest.has_target_rates() && !IsActiveLeader(now)) {
+    Receive(digest.target_rates());
+  }
   bool changed = false;
   for (const wire::TargetRecord& target : digest.targets()) {
     changed |= MergeTarget(target, now - milliseconds(target.age_ms()));
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -89,7 +89,12 @@
                      {[this](const wire::SamplesAdvance& advances) {
                         return RecordAdvances(advances);
                       },
-                      [this] { ScheduleLeaderTasks(); }}),
+                      [this] { ScheduleLeaderTasks(); },
+                      [this](const std::string& engine,
+                             uint64_t incarnation,
+                             std::optional<double> rate_limit) {
+                        ObserveRateLimit(engine, incarnation, rate_limit);
+                      }}),
       weight_order_client_(io,
                            settings.process.id,
                            scheduler_.engine_table(),
@@ -120,6 +125,7 @@
   });
   timers_.Every(kHousekeepingPeriod, [this](TimePoint now) {
     ExpireJobs(now);
+    DropRateLimitsOfGoneTargets();
     std::erase_if(watchers_, [&](const auto& entry) {
       return now - entry.second.last_contact_at > kWatcherTimeout;
     });
@@ -212,7 +218,8 @@
 
 bool FleetService::HandleRequest(const wire::ControlRequest& request) {
   if (!request.has_configuration() && !request.has_job() &&
-      !request.has_job_body()) {
+      !request.has_job_body() && !request.has_target_rate() &&
+      !request.has_target_permit()) {
     return false;
   }
   if (!replica_.consensus() || !replica_.consensus()->leading()) {
@@ -221,6 +228,10 @@
     pending_configuration_reads_.push_back({request, Clock::now()});
   } else if (request.has_job()) {
     AnswerJobQuery(request, true);
+  } else if (request.has_target_rate()) {
+    AnswerRateReport(request);
+  } else if (request.has_target_permit()) {
+    AnswerPermitQuery(request);
   } else {
     AnswerJobBodyQuery(request);
   }
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -138,6 +138,18 @@
   void PushNews();
   void SendNews(Watcher& watcher, TimePoint now);
 
+  // Rate limits of targets.
+  // Records what an answer of the target stated, and distributes a change.
+  void ObserveRateLimit(const std::string& target,
+                        uint64_t incarnation,
+                        std::optional<double> requests_per_second);
+  void AnswerRateReport(const wire::ControlRequest& request);
+  void AnswerPermitQuery(const wire::ControlRequest& request);
+  // Takes over the limits that the leader knows.
+  void Receive(const wire::TargetRates& rates);
+  wire::TargetRates EncodeRateLimits() const;
+  void DropRateLimitsOfGoneTargets();
+
   // Reads.
   void SendReply(const wire::ControlRequest& request, wire::ControlReply reply);
   void ReplyNotLeader(const wire::ControlRequest& request);
--- a/src/programs/control/fleet_targets.cc
+++ b/src/programs/control/fleet_targets.cc
@@ -173,6 +173,7 @@
     news.mutable_configuration()->clear_document();
     watcher.configuration_version = configuration.version();
   }
+  *news.mutable_target_rates() = EncodeRateLimits();
   news.add_control_endpoints(settings_.peers.ToString());
   for (const auto& [id, peer] : peers_) {
     if (now - peer.last_contact_at < kAliveTimeout) {
--- a/src/programs/control/sample_runner.cc
+++ b/src/programs/control/sample_runner.cc
@@ -105,6 +105,7 @@
   run->max_attempts = std::max<uint32_t>(job.submit.max_attempts(), 1);
   run->failures_before = job.samples[start.key.index].failures;
   run->address = engine->address;
+  run->incarnation = engine->born_ms;
   run->started_at = Clock::now();
   run->events_before = progress.total();
   runs_[start.key] = run;
@@ -183,6 +184,7 @@
   }
   const platform::SampleHead head = platform::DecodeSampleHead(
       outcome.stream->status(), outcome.stream->headers(), run->sample.id());
+  listener_.on_answer(run->start.engine, run->incarnation, head.rate_limit);
   if (head.answer != platform::SampleAnswer::kStream) {
     return HandleRefusal(run, head);
   }
--- a/src/programs/control/sample_runner.h
+++ b/src/programs/control/sample_runner.h
@@ -29,6 +29,11 @@
     std::function<bool(const wire::SamplesAdvance& advances)> record_advances;
     // A run ended, so that the scheduler has to plan again.
     std::function<void()> replan;
+    // An engine answered, with or without a rate limit in requests per second.
+    std::function<void(const std::string& engine,
+                       uint64_t incarnation,
+                       std::optional<double> rate_limit)>
+        on_answer;
   };
 
   SampleRunner(boost::asio::io_context& io,
@@ -84,6 +89,7 @@
     uint32_t max_attempts = 1;
     uint32_t failures_before = 0;
     Endpoint address;
+    uint64_t incarnation = 0;  // Of the engine.
     std::shared_ptr<HttpCancelToken> cancel =
         std::make_shared<HttpCancelToken>();
     bool stopped = false;
--- a/src/programs/gateway/fleet_subscriber.cc
+++ b/src/programs/gateway/fleet_subscriber.cc
@@ -162,6 +162,7 @@
     return;
   }
   last_quorum_contact_at_ = now;
+  callbacks_.on_target_rates(news.target_rates());
   for (ControlInstance& known : control_instances_) {
     known.tried = false;
     known.reachable =
--- a/src/programs/gateway/fleet_subscriber.h
+++ b/src/programs/gateway/fleet_subscriber.h
@@ -24,6 +24,9 @@
   struct Callbacks {
     // Called for each control instance that an update names, known or not.
     std::function<void(const Endpoint& control_instance)> on_control_instance;
+    // Called with the rate limits of targets that the current control instance
+    // knows.
+    std::function<void(const wire::TargetRates& rates)> on_target_rates;
   };
 
   FleetSubscriber(TimerService& timers,
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -54,12 +54,16 @@
                  {.translation = settings.process.address_translation},
                  [this](std::string_view message) { OnMessage(message); }),
       control_client_(io_, messenger_, MakeControlClientOptions(settings)),
+      target_permits_(io_, control_client_),
       fleet_subscriber_(timers_,
                         messenger_,
                         settings_,
                         {[this](const Endpoint& control) {
-                          control_client_.AddReplica(control);
-                        }}),
+                           control_client_.AddReplica(control);
+                         },
+                         [this](const wire::TargetRates& rates) {
+                           target_permits_.OnNews(rates);
+                         }}),
       target_client_(
           io_,
           HttpClientOptions{.translation = settings.process.address_translation,
@@ -80,8 +84,13 @@
           [this](HttpExchange& exchange) { ServeMetrics(exchange); }),
       router_(RouterOptions{.zone = settings.process.zone}),
       random_(std::random_device()()),
-      live_call_context_{io_,     target_client_, fleet_subscriber_.targets(),
-                         router_, random_,        metrics_},
+      live_call_context_{io_,
+                         target_client_,
+                         fleet_subscriber_.targets(),
+                         router_,
+                         random_,
+                         metrics_,
+                         target_permits_},
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       settings_watcher_(timers_, settings_path_, [this] { Reload(); }),
       event_loop_monitor_(timers_, kEventLoopCheckPeriod) {}
--- a/src/programs/gateway/gateway.h
+++ b/src/programs/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "programs/gateway/gateway_metrics.h"
 #include "programs/gateway/gateway_settings.h"
 #include "programs/gateway/live_call.h"
+#include "programs/gateway/target_permits.h"
 
 namespace limpethatch {
 
@@ -69,6 +70,7 @@
   TimerService timers_{io_};
   Messenger messenger_;
   ControlClient control_client_;
+  TargetPermits target_permits_;
   FleetSubscriber fleet_subscriber_;
   HttpClient target_client_;
   HttpServer caller_server_;
--- a/src/programs/gateway/gateway_metrics.cc
+++ b/src/programs/gateway/gateway_metrics.cc
@@ -47,6 +47,9 @@
   text.Single("limpethatch_hedges_total", MetricType::kCounter,
               "Second calls while a first one was open.",
               static_cast<double>(hedges_));
+  text.Single("limpethatch_permits_denied_total", MetricType::kCounter,
+              "Requests not sent to a target because of its rate limit.",
+              static_cast<double>(permits_denied_));
   text.Family("limpethatch_answers_total", MetricType::kCounter,
               "Answers to live requests by status; 0: the caller left.");
   for (const auto& [status, count] : answers_) {
--- a/src/programs/gateway/live_call.cc
+++ b/src/programs/gateway/live_call.cc
@@ -33,6 +33,9 @@
 constexpr Duration kRetryAfter = std::chrono::milliseconds(60);
 // For callers that send no deadline header.
 constexpr Duration kDefaultTimeout = std::chrono::seconds(30);
+// If all targets have a rate limit, a request waits for a permit for this part
+// of the time left at most, so that the target can answer within the rest.
+constexpr int kPermitWaitDivisor = 2;
 // A second target is tried after the route's target latency divided by this.
 constexpr int kHedgeDivisor = 2;
 
@@ -103,6 +106,16 @@
         return;
       }
       const TimePoint now = Clock::now();
+      if (permitted_ && now < deadline_) {
+        if (now >= permitted_->send_at) {
+          const RoutedTargetPtr target = std::move(permitted_->target);
+          permitted_.reset();
+          StartAttempt(*target, now);
+        } else {
+          WaitUntil(permitted_->send_at, now);
+        }
+        continue;
+      }
       const RoutedTargetPtr target = ChooseTarget(now);
       const LiveAction action =
           state_->attempt_policy->Next(target != nullptr, now);
@@ -110,20 +123,51 @@
         RespondWithFailure(now);
         return;
       }
-      if (action.kind == LiveAction::Kind::kSend) {
+      if (action.kind == LiveAction::Kind::kWait) {
+        WaitUntil(action.until, now);
+      } else if (context_.permits.IsLimited(target->target, now)) {
+        RequestPermit(target, now);
+      } else {
         StartAttempt(*target, now);
-        continue;
       }
-      boost::system::error_code ignored;
-      state_->wake_timer.expires_at(
-          std::min(action.until, now + kDisconnectCheckPeriod));
-      state_->wake_timer.async_wait(exchange_.yield()[ignored]);
     }
   }
 
  private:
+  // A target to which the request may be sent from `send_at` on.
+  struct PermittedTarget {
+    RoutedTargetPtr target;
+    TimePoint send_at;
+  };
+
+  void WaitUntil(TimePoint until, TimePoint now) {
+    boost::system::error_code ignored;
+    state_->wake_timer.expires_at(
+        std::min(until, now + kDisconnectCheckPeriod));
+    state_->wake_timer.async_wait(exchange_.yield()[ignored]);
+  }
+
+  // Asks for a permit for a target with a rate limit. If it is denied, the
+  // target is not used for this request.
+  void RequestPermit(const RoutedTargetPtr& target, TimePoint now) {
+    rate_limited_.push_back(target->target.id);
+    const bool has_alternative = ChooseTarget(now) != nullptr;
+    const Duration max_wait = has_alternative
+                                  ? Duration::zero()
+                                  : (deadline_ - now) / kPermitWaitDivisor;
+    const std::optional<TargetRateLimits::Permit> permit =
+        context_.permits.Acquire(exchange_.yield(), target->target, max_wait);
+    if (permit && permit->granted) {
+      permitted_ = {target, Clock::now() + permit->wait};
+      return;
+    }
+    context_.metrics.CountPermitDenied();
+    const Duration wait = permit ? permit->wait : Duration(kRetryAfter);
+    permit_wait_ = std::min(permit_wait_.value_or(wait), wait);
+  }
+
   RoutedTargetPtr ChooseTarget(TimePoint now) {
-    std::vector<std::string> tried;
+    std::vector<std::string> tried = rate_limited_;
     for (const Attempt& attempt : state_->attempts) {
       tried.push_back(attempt.target);
     }
@@ -182,8 +226,8 @@
                    : AttemptResult::kUnknown;
       reason = outcome.error.message();
     } else {
-      result = ReadAnswer(yield, state, target, *outcome.stream, attempt_id,
-                          &reason);
+      result = ReadAnswer(yield, state, context, target, *outcome.stream,
+                          attempt_id, &reason);
     }
     if (state.finished) {
       return;  // The destructor of the ticket records the call as cancelled.
@@ -208,6 +252,7 @@
   // in `reason`.
   static std::optional<AttemptResult> ReadAnswer(Yield yield,
                                                  CallState& state,
+                                                 LiveCallContext& context,
                                                  const RoutedTarget& target,
                                                  HttpStream& stream,
                                                  const std::string& attempt_id,
@@ -215,6 +260,9 @@
     const platform::TargetAnswerHeaders answer_headers =
         platform::DecodeTargetAnswerHeaders(stream.status(), stream.headers(),
                                             attempt_id);
+    if (!answer_headers.misdirected) {
+      context.permits.OnAnswer(target.target, answer_headers.rate_limit);
+    }
     if (answer_headers.not_run) {
       *reason = answer_headers.misdirected ? "misdirected" : "refused";
       // Reads the rest of the answer, so that the connection can be reused.
@@ -291,6 +339,7 @@
     CancelAttempts();
     const std::string reason = target_failure             ? "target_error"
                                : deadline_passed          ? "deadline"
+                               : permit_wait_ && not_run  ? "rate_limit"
                                : state_->attempts.empty() ? "no_target"
                                : not_run                  ? "targets_full"
                                                           : "targets_failed";
@@ -315,9 +364,11 @@
     const int status = not_run           ? kUnavailable
                        : deadline_passed ? kGatewayTimeout
                                          : kBadGateway;
+    const Duration retry_after =
+        std::max<Duration>(kRetryAfter, permit_wait_.value_or(kRetryAfter));
     exchange_.Respond(platform::MakeRefusal(
         status, caller_headers_, reason,
-        not_run ? std::optional<Duration>(kRetryAfter) : std::nullopt));
+        not_run ? std::optional<Duration>(retry_after) : std::nullopt));
     context_.metrics.RecordAnswer(route_.name(), status, now - started_at_);
   }
 
@@ -328,6 +379,11 @@
   const TimePoint started_at_;
   TimePoint deadline_;
   std::string service_;
+  std::optional<PermittedTarget> permitted_;
+  // Targets with a rate limit for which a permit was requested.
+  std::vector<std::string> rate_limited_;
+  // The shortest wait of the permits that were denied.
+  std::optional<Duration> permit_wait_;
   std::shared_ptr<CallState> state_;
 };
 
--- a/src/programs/gateway/live_call.h
+++ b/src/programs/gateway/live_call.h
@@ -13,6 +13,7 @@
 #include "limpethatch/connection/http_server.h"
 #include "limpethatch/request/router.h"
 #include "programs/gateway/gateway_metrics.h"
+#include "programs/gateway/target_permits.h"
 
 namespace limpethatch {
 
@@ -24,6 +25,7 @@
   const Router& router;
   std::mt19937_64& random;
   GatewayMetrics& metrics;
+  TargetPermits& permits;
 };
 
 // Answers the request of `exchange`, which matched `route`. Returns when the
--- a/tests/gateway/fleet_subscriber_test.cc
+++ b/tests/gateway/fleet_subscriber_test.cc
@@ -55,7 +55,10 @@
   TimerService timers{io};
   Messenger messenger{io, {}, [](std::string_view) {}};
   const GatewaySettings settings = Settings();
-  FleetSubscriber subscriber{timers, messenger, settings, {[](auto&) {}}};
+  FleetSubscriber subscriber{timers,
+                             messenger,
+                             settings,
+                             {[](auto&) {}, [](auto&) {}}};
 };
 
 }  // namespace
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -58,16 +58,20 @@
 }
 
 // A control instance that answers each watch request with one configuration and
-// the targets added to it.
+// the targets added to it. As the leader it grants or denies permits.
 class FakeControl {
  public:
   explicit FakeControl(const Endpoint& endpoint)
       : endpoint_(endpoint), messenger_({}, [this](std::string_view bytes) {
           wire::Envelope envelope;
-          if (envelope.ParseFromArray(bytes.data(),
-                                      static_cast<int>(bytes.size())) &&
-              envelope.has_watch()) {
+          if (!envelope.ParseFromArray(bytes.data(),
+                                       static_cast<int>(bytes.size()))) {
+            return;
+          }
+          if (envelope.has_watch()) {
             Answer(envelope.watch());
+          } else if (envelope.has_request()) {
+            Answer(envelope.request());
           }
         }) {}
 
@@ -82,8 +86,25 @@
     target.set_born_ms(1);
   }
   std::atomic<bool> has_quorum_contact{true};
+  std::atomic<bool> grants_permits{true};
+  std::atomic<int> permits_requested{0};
 
  private:
+  void Answer(const wire::ControlRequest& request) {
+    wire::Envelope envelope;
+    wire::ControlReply& reply = *envelope.mutable_reply();
+    reply.set_id(request.id());
+    reply.set_outcome(wire::ControlReply::OK);
+    if (request.has_target_permit()) {
+      ++permits_requested;
+      reply.mutable_target_permit()->set_granted(grants_permits);
+      reply.mutable_target_permit()->set_wait_ms(grants_permits ? 0 : 2500);
+    }
+    Endpoint to;
+    ParseEndpoint(request.reply_to(), &to);
+    messenger_.Send(to, envelope.SerializeAsString());
+  }
+
   void Answer(const wire::Watch& watch) {
     wire::Envelope envelope;
     wire::FleetNews& news = *envelope.mutable_fleet_news();
@@ -326,4 +347,62 @@
   cr_assert(fixture.WaitUntilReady(true));
 }
 
+// Targets that had stated a rate limit got several times as many requests.
+Test(gateway, a_target_with_a_rate_limit_gets_a_request_only_with_a_permit) {
+  std::atomic<bool> limited = true;
+  FakeTarget target([&](const HttpRequest& request) {
+    HttpResponse response = SignedAnswer(request, kAttemptId);
+    if (limited) {
+      response.headers.Set("Server-Limit", "2.5");
+    }
+    return response;
+  });
+  GatewayFixture fixture;
+  fixture.control->AddTarget("i-1", target.endpoint());
+  fixture.control->Start();
+  fixture.Start();
+  cr_assert(fixture.WaitUntilReady(true));
+  const std::string first = fixture.Call(Post("/l/x"));
+  cr_assert(StatusOf(first) == "200");
+  cr_assert(first.find("Server-Limit: 2.5") != std::string::npos);
+  cr_assert_eq(fixture.control->permits_requested, 0);
+
+  fixture.control->grants_permits = false;
+  const std::string denied = fixture.Call(Post("/l/x"));
+  cr_assert(StatusOf(denied) == "503", "%s", denied.c_str());
+  cr_assert(denied.find("Retry-After: 2.500") != std::string::npos);
+  cr_assert(denied.find("rate_limit") != std::string::npos);
+  cr_assert_eq(target.calls, 1);
+
+  fixture.control->grants_permits = true;
+  limited = false;
+  cr_assert(StatusOf(fixture.Call(Post("/l/x"))) == "200");
+  cr_assert_eq(fixture.control->permits_requested, 2);
+  cr_assert(StatusOf(fixture.Call(Post("/l/x"))) == "200");
+  cr_assert_eq(fixture.control->permits_requested, 2,
+               "the last answer stated no limit");
+}
+
+Test(gateway, a_target_without_a_rate_limit_serves_if_a_permit_is_denied) {
+  FakeTarget limited([](const HttpRequest& request) {
+    HttpResponse response = SignedAnswer(request, kAttemptId);
+    response.headers.Set("Server-Limit", "0.5");
+    return response;
+  });
+  FakeTarget unlimited([](const HttpRequest& request) {
+    return SignedAnswer(request, kAttemptId);
+  });
+  GatewayFixture fixture;
+  fixture.control->AddTarget("i-1", limited.endpoint());
+  fixture.control->AddTarget("i-2", unlimited.endpoint());
+  fixture.control->grants_permits = false;
+  fixture.control->Start();
+  fixture.Start();
+  cr_assert(fixture.WaitUntilReady(true));
+  for (int i = 0; i < 40; ++i) {
+    cr_assert(StatusOf(fixture.Call(Post("/l/x"))) == "200");
+  }
+  cr_assert_leq(limited.calls, 1);
+}
+
 }  // namespace limpethatch
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -239,4 +239,18 @@
   cr_assert(!DecodeEngineStatus(response));
 }
 
+Test(codec, a_rate_limit_is_a_number_of_zero_or_more) {
+  const auto decode = [](const char* text) {
+    HttpHeaders headers;
+    headers.Set("Server-Limit", text);
+    return DecodeRateLimit(headers);
+  };
+  cr_assert_eq(decode("4.4").value_or(-1), 4.4);
+  cr_assert_eq(decode(" 3 ").value_or(-1), 3.0);
+  cr_assert_eq(decode("0").value_or(-1), 0.0);
+  for (const char* text : {"", "x", "1.5x", "-1", "nan", "inf", "1e999"}) {
+    cr_assert_not(decode(text).has_value(), "%s", text);
+  }
+}
+
 }  // namespace limpethatch::platform
--- a/tests/version/sample_scheduler_test.cc
+++ b/tests/version/sample_scheduler_test.cc
@@ -298,4 +298,21 @@
   cr_assert(plan.starts.size() == 2, "400 tokens each, 900 may be reserved");
 }
 
+Test(sample_scheduler, an_engine_with_a_rate_limit_gets_no_more_starts) {
+  SchedulerFixture fixture(2, 8);
+  fixture.scheduler.rate_limits().Observe("engine0", 1, 2.0);
+  fixture.Submit("a", {{5, 5, 5, 5}, {5, 5, 5, 5}, {5, 5, 5, 5}});
+  int limited_starts = 0;
+  for (int i = 0; i < 80; ++i) {
+    for (const SampleStart& start :
+         fixture.scheduler.Plan(fixture.jobs, fixture.now).starts) {
+      limited_starts += start.engine == "engine0";
+      fixture.scheduler.EndRun(start.key, RunOutcome::kNotRun, fixture.now);
+    }
+    fixture.now += milliseconds(50);
+  }
+  cr_assert_geq(limited_starts, 7);
+  cr_assert_leq(limited_starts, 9);
+}
+
 }  // namespace limpethatch
