Test that a sample under which engines crashed is placed again

The users saw on another system that an item under which several servers died was never placed again. That can't happen here: a run that breaks off without an event counts towards a pause of two seconds, never towards the attempts of the sample, and an engine's backoff ends after four seconds at most. Two tests hold this after twelve crashes in a row, with engines replaced and with engines that come back under their ids; both passed on the code as it stands.

--- a/tests/version/sample_scheduler_test.cc
+++ b/tests/version/sample_scheduler_test.cc
@@ -315,4 +315,53 @@
   cr_assert_leq(limited_starts, 9);
 }
 
+// A sample under which engines crashed is still owed: it was never placed again
+// on a system like this one.
+Test(sample_scheduler, a_sample_whose_engines_crashed_starts_again_when_calm) {
+  for (const uint32_t events_before_crash : {0u, 3u}) {
+    SchedulerFixture fixture(4);
+    fixture.Submit("a", {{20}});
+    int crashes = 0;
+    while (crashes < 12) {
+      for (const SampleStart& start :
+           fixture.scheduler.Plan(fixture.jobs, fixture.now).starts) {
+        if (events_before_crash > 0) {
+          fixture.scheduler.RecordEvents(start.key, events_before_crash,
+                                         fixture.now);
+        }
+        fixture.scheduler.EndRun(start.key, RunOutcome::kBroken, fixture.now);
+        fixture.scheduler.engine_table().Drop(start.engine);
+        fixture.Announce("engine" + std::to_string(4 + crashes++), 4, 5);
+      }
+      fixture.now += milliseconds(50);
+    }
+    bool started = false;
+    for (int i = 0; i < 80 && !started; ++i) {
+      started =
+          !fixture.scheduler.Plan(fixture.jobs, fixture.now).starts.empty();
+      fixture.now += milliseconds(50);
+    }
+    cr_assert(started, "not started within 4 s");
+  }
+}
+
+// The same where each engine comes back under its id.
+Test(sample_scheduler, a_sample_starts_again_on_engines_that_crashed_under_it) {
+  SchedulerFixture fixture(3);
+  fixture.Submit("a", {{20}});
+  for (int crashes = 0; crashes < 12; fixture.now += milliseconds(50)) {
+    for (const SampleStart& start :
+         fixture.scheduler.Plan(fixture.jobs, fixture.now).starts) {
+      fixture.scheduler.EndRun(start.key, RunOutcome::kBroken, fixture.now);
+      ++crashes;
+    }
+  }
+  bool started = false;
+  for (int i = 0; i < 100 && !started; ++i) {
+    started = !fixture.scheduler.Plan(fixture.jobs, fixture.now).starts.empty();
+    fixture.now += milliseconds(50);
+  }
+  cr_assert(started, "not started within 5 s");
+}
+
 }  // namespace limpethatch
