Bound the memory that the answer of a target may take

Targets in trouble may send bytes without end, in a head or a body. Answers to live requests were collected without a limit until the route's timeout, streams of samples up to 1 GB, an unfinished event and a line between two chunks without one: a single target could have filled a gateway's 100 MB within a second.

The limit of a body is an option of each call now and holds for streams as well: 8 MiB for answers to live requests and 32 MiB for all that a gateway is reading, 16 MiB for the stream of a sample and 256 KiB for one event, 256 KiB for answers to orders; 64 KiB of a head, a chunk's line or trailers. Beyond that the connection is closed and the attempt has failed. The rest of a refusal is read up to 64 KiB.

--- a/src/limpethatch/connection/http_client.cc
+++ b/src/limpethatch/connection/http_client.cc
@@ -136,10 +136,6 @@
       return outcome;
     }
     outcome.response.body += piece.value();
-    if (outcome.response.body.size() > pool_->options().max_body_bytes) {
-      outcome.error = HttpError::kBodyTooLarge;
-      return outcome;
-    }
   }
 }
 
--- a/src/limpethatch/connection/http_client.h
+++ b/src/limpethatch/connection/http_client.h
@@ -49,6 +49,8 @@
   // Never reuses an idle connection. For requests that must not run twice: if a
   // reused connection fails, it is unknown whether the request ran.
   bool fresh_connection = false;
+  // A longer body is an error, and its connection is closed.
+  size_t max_body_bytes = 64UL * 1024 * 1024;
   // May be null.
   std::shared_ptr<HttpCancelToken> cancel;
 };
@@ -57,7 +59,6 @@
   AddressTranslation translation;
   size_t max_idle_per_endpoint = 64;
   Duration max_idle_time = std::chrono::seconds(15);
-  size_t max_body_bytes = 64UL * 1024 * 1024;
 };
 
 struct HttpOutcome {
--- a/src/limpethatch/connection/internal/http_response_reader.cc
+++ b/src/limpethatch/connection/internal/http_response_reader.cc
@@ -14,8 +14,9 @@
 
 // Small, because many streams are read concurrently and their events are short.
 constexpr size_t kReadBytes = 4UL * 1024;
-// Limits the memory that a peer's Content-Length makes this process reserve.
-constexpr uint64_t kMaxStreamBytes = 1024UL * 1024 * 1024;
+// Maximum size of what the parser cannot use yet: a header, or a line between
+// two chunks of a body.
+constexpr size_t kMaxUnparsedBytes = 64UL * 1024;
 
 }  // namespace
 
@@ -30,7 +31,7 @@
       connection_(std::move(connection)),
       options_(options) {
   parser_.skip(head);
-  parser_.body_limit(kMaxStreamBytes);
+  parser_.body_limit(options_.max_body_bytes);
 }
 
 std::error_code HttpResponseReader::ReadHeader(Yield yield) {
@@ -58,6 +59,15 @@
     if (const auto error = ReadAndParse(yield)) {
       return error;
     }
+    // Lines between chunks and trailers yield no body.
+    bytes_without_body_ = body.empty() ? bytes_without_body_ + bytes_read_ : 0;
+    if (bytes_without_body_ > kMaxUnparsedBytes) {
+      return HandleReadError(HttpError::kMalformed);
+    }
+  }
+  body_bytes_ += body.size();
+  if (body_bytes_ > options_.max_body_bytes) {
+    return HandleReadError(HttpError::kBodyTooLarge);
   }
   ReleaseIfDone();
   return std::exchange(body, {});
@@ -93,6 +103,7 @@
     return HandleReadError(size.error());
   }
   buffer.commit(size.value());
+  bytes_read_ = size.value();
   if (size.value() > 0) {
     return {};
   }
@@ -125,12 +136,17 @@
     const bool header_was_done = parser_.is_header_done();
     const size_t used = parser_.put(buffer.data(), error);
     buffer.consume(used);
+    if (error == http::error::body_limit) {
+      return HandleReadError(HttpError::kBodyTooLarge);
+    }
     if (error && error != http::error::need_more) {
       return HandleReadError(HttpError::kMalformed);
     }
     progress = header_was_done && used > 0;
   }
-  return {};
+  return buffer.size() > kMaxUnparsedBytes && !parser_.is_done()
+             ? HandleReadError(HttpError::kMalformed)
+             : std::error_code();
 }
 
 void HttpResponseReader::ReleaseIfDone() {
--- a/src/limpethatch/connection/internal/http_response_reader.h
+++ b/src/limpethatch/connection/internal/http_response_reader.h
@@ -51,6 +51,9 @@
   Parser parser_;
   int status_ = 0;
   HttpHeaders headers_;
+  size_t bytes_read_ = 0;          // By the last read.
+  size_t body_bytes_ = 0;          // Returned so far.
+  size_t bytes_without_body_ = 0;  // Read since the body last grew.
   std::atomic<bool> cancelled_ = false;
   std::mutex executor_mutex_;
   // The executor of the coroutine that reads. Guarded by `executor_mutex_`.
--- a/src/programs/control/sample_runner.cc
+++ b/src/programs/control/sample_runner.cc
@@ -19,6 +19,10 @@
 // Period at which output is recorded. A new leader loses at most the output of
 // this period.
 constexpr Duration kRecordPeriod = std::chrono::milliseconds(250);
+// Maximum size of an event, several hundred times the usual one.
+constexpr size_t kMaxEventBytes = 256UL * 1024;
+// Maximum size of the stream of one run.
+constexpr size_t kMaxStreamBytes = 16UL * 1024 * 1024;
 // Delay before finished samples are recorded; those that end within it share
 // a log entry.
 constexpr Duration kFlushDelay = std::chrono::milliseconds(2);
@@ -169,6 +173,7 @@
   options.deadline = Clock::now() + kRunTimeout;
   options.connect_timeout = kConnectTimeout;
   options.progress_timeout = kProgressTimeout;
+  options.max_body_bytes = kMaxStreamBytes;
   options.cancel = run->cancel;
   const HttpRequest request = platform::EncodeSampleRun(
       run->sample, run->host, run->start.engine, run->start.version,
@@ -277,6 +282,10 @@
       AppendEvent(run, *event, validator.version());
       received_event = true;
     }
+    if (parser.partial_event_bytes() > kMaxEventBytes) {
+      run->reason = "event_too_large";
+      return RunOutcome::kBroken;
+    }
     if (received_event) {
       scheduler_.RecordEvents(run->start.key, progress_[run->start.key].total(),
                               Clock::now());
--- a/src/programs/control/weight_order_client.cc
+++ b/src/programs/control/weight_order_client.cc
@@ -8,6 +8,8 @@
 namespace limpethatch {
 namespace {
 
+// Maximum size of an engine's answer to an order or a status query.
+constexpr size_t kMaxAnswerBytes = 256UL * 1024;
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 // Engines answer without delay. One that does not answer may still execute the
 // order later, which shows in its order count.
@@ -60,6 +62,7 @@
     return true;
   }
   HttpCallOptions options;
+  options.max_body_bytes = kMaxAnswerBytes;
   options.deadline = Clock::now() + kResponseTimeout;
   options.connect_timeout = kConnectTimeout;
   const HttpOutcome outcome =
@@ -95,6 +98,7 @@
   const platform::WeightOrder order{load.model, load.version, finish_runs,
                                     holder_,    term,         order_count};
   HttpCallOptions options;
+  options.max_body_bytes = kMaxAnswerBytes;
   options.deadline = Clock::now() + kResponseTimeout;
   options.connect_timeout = kConnectTimeout;
   const HttpOutcome outcome =
--- a/src/programs/gateway/live_call.cc
+++ b/src/programs/gateway/live_call.cc
@@ -14,6 +14,14 @@
 namespace limpethatch {
 namespace {
 
+// Maximum size of the body of an answer.
+constexpr size_t kMaxAnswerBytes = 8UL * 1024 * 1024;
+// Maximum size of the answers that are being read, all together. A gateway's
+// machine has about 100 MB.
+constexpr size_t kMaxBufferedAnswerBytes = 32UL * 1024 * 1024;
+// A refusal with a longer body is not read to its end, and its connection not
+// reused.
+constexpr size_t kMaxRefusalBytes = 64UL * 1024;
 constexpr int kFirstClientError = 400;
 constexpr int kFirstServerError = 500;
 constexpr int kUnavailable = 503;
@@ -45,6 +53,24 @@
   std::shared_ptr<HttpCancelToken> cancel = std::make_shared<HttpCancelToken>();
 };
 
+// Counts the bytes of one answer towards a total while the answer is read.
+class BufferedBytes {
+ public:
+  explicit BufferedBytes(size_t& total) : total_(total) {}
+  ~BufferedBytes() { total_ -= own_; }
+  BufferedBytes(const BufferedBytes&) = delete;
+  BufferedBytes& operator=(const BufferedBytes&) = delete;
+
+  void Add(size_t bytes) {
+    own_ += bytes;
+    total_ += bytes;
+  }
+
+ private:
+  size_t& total_;
+  size_t own_ = 0;
+};
+
 // An answer that may be returned to the caller, and the target's id.
 struct TargetAnswer {
   HttpResponse response;
@@ -194,6 +220,7 @@
     options.connect_timeout = kConnectTimeout;
     options.progress_timeout = deadline_ - now;
     options.fresh_connection = route_.kind() != wire::ROUTE_IDEMPOTENT;
+    options.max_body_bytes = kMaxAnswerBytes;
     options.cancel = attempt.cancel;
     Spawn(context_.io, [state = state_, &context = context_, options, target,
                         attempt_id = caller_headers_.attempt_id,
@@ -266,11 +293,12 @@
     if (answer_headers.not_run) {
       *reason = answer_headers.misdirected ? "misdirected" : "refused";
       // Reads the rest of the answer, so that the connection can be reused.
-      while (true) {
+      for (size_t bytes = 0; bytes <= kMaxRefusalBytes;) {
         const Result<std::string> chunk = stream.Read(yield);
         if (!chunk || chunk.value().empty()) {
           break;
         }
+        bytes += chunk.value().size();
       }
       return AttemptResult::kNotRun;
     }
@@ -283,6 +311,7 @@
     target_answer.response.status = stream.status();
     target_answer.response.headers =
         platform::FilterAnswerHeaders(stream.headers());
+    BufferedBytes buffered(context.buffered_answer_bytes);
     while (true) {
       Result<std::string> chunk = stream.Read(yield);
       if (!chunk) {
@@ -292,6 +321,11 @@
       if (chunk.value().empty()) {
         break;
       }
+      buffered.Add(chunk.value().size());
+      if (context.buffered_answer_bytes > kMaxBufferedAnswerBytes) {
+        *reason = "too_many_answer_bytes";
+        return AttemptResult::kUnknown;
+      }
       target_answer.response.body += chunk.value();
     }
     if (target_answer.response.status >= kFirstServerError) {
--- a/src/programs/gateway/live_call.h
+++ b/src/programs/gateway/live_call.h
@@ -26,6 +26,8 @@
   std::mt19937_64& random;
   GatewayMetrics& metrics;
   TargetPermits& permits;
+  // Of the bodies of answers that are being read.
+  size_t buffered_answer_bytes = 0;
 };
 
 // Answers the request of `exchange`, which matched `route`. Returns when the
--- a/tests/connection/http_test.cc
+++ b/tests/connection/http_test.cc
@@ -5,8 +5,10 @@
 #include <chrono>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
+#include "connection/endless_server.h"
 #include "limpethatch/connection/http_client.h"
 #include "limpethatch/connection/http_error.h"
 #include "limpethatch/connection/http_server.h"
@@ -371,4 +373,49 @@
 }
 
 }  // namespace
+// A target in trouble may send bytes without end, which filled the memory of
+// the process that called it.
+Test(http, an_endless_answer_is_an_error_after_a_bounded_number_of_bytes) {
+  // What a client and a server may have buffered beyond the limit.
+  constexpr size_t kSocketBuffers = 16UL * 1024 * 1024;
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> answers = {
+      {"", "x"},
+      {"HTTP/1.1 200 ", "x"},
+      {head, "x"},
+      {head + "X-Long: ", "x"},
+      {head, "X-More: y\r\n"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {head + "\r\n", "x"},
+      {head + "Content-Length: 99999999999\r\n\r\n", "x"},
+      {chunked, "5\r\nabcde\r\n"},
+      {chunked, "0"},
+      {chunked + "5;extension=", "x"},
+      {chunked + "0\r\nX-Trailer: ", "x"},
+      {chunked + "0\r\n", "X-Trailer: y\r\n"},
+  };
+  for (const auto& [prefix, pattern] : answers) {
+    EndlessServer server(prefix, pattern);
+    boost::asio::io_context io;
+    HttpClient client(io, {});
+    HttpOutcome outcome;
+    HttpCallOptions options;
+    options.deadline = Clock::now() + kTestLimit;
+    options.max_body_bytes = 100UL * 1024;
+    Spawn(io, [&](Yield yield) {
+      outcome = client.Call(yield, server.endpoint(), Get("/"), options);
+    });
+    io.run();
+    cr_assert(Clock::now() < options.deadline, "%s%s", prefix.c_str(),
+              pattern.c_str());
+    cr_assert_lt(server.bytes_sent(), kSocketBuffers, "%s%s", prefix.c_str(),
+                 pattern.c_str());
+    cr_assert_leq(outcome.response.body.size(), options.max_body_bytes);
+    const bool interim = outcome.response.status == 100;
+    cr_assert(interim || outcome.progress != CallProgress::kAnswered, "%s%s",
+              prefix.c_str(), pattern.c_str());
+  }
+}
+
 }  // namespace limpethatch
