Refuse batch jobs submitted by a route that is not in force any more

The same cause as with stale gateways, found while looking for it elsewhere: a gateway decided with its own copy of the configuration what the leader then kept. One that had been cut off or frozen reaches the leader before its next news, so a job could be accepted, and run, by a route that a later configuration had moved or removed.

A submission now tells the version and the prefix of its route. The leader refuses it (503, nothing was accepted) if its configuration is newer and does not have that route with the same service. Jobs that were accepted before are acknowledged again as ever.

--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "limpethatch/process/log.h"
+#include "limpethatch/version/job_route.h"
 #include "platform/control_api.h"
 
 namespace limpethatch {
@@ -217,6 +218,9 @@
 }
 
 bool FleetService::HandleRequest(const wire::ControlRequest& request) {
+  if (request.command().has_job_submit()) {
+    return RefuseChangedRoute(request);
+  }
   if (!request.has_configuration() && !request.has_job() &&
       !request.has_job_body() && !request.has_target_rate() &&
       !request.has_target_permit()) {
@@ -238,6 +242,25 @@
   return true;
 }
 
+bool FleetService::RefuseChangedRoute(const wire::ControlRequest& request) {
+  const wire::JobSubmit& submit = request.command().job_submit();
+  if (!IsActiveLeader(Clock::now()) || ledger().jobs().Find(submit.job()) ||
+      IsJobRouteInForce(ledger().configuration(), submit)) {
+    return false;
+  }
+  Log(LogLevel::kInfo, "job_refused",
+      {{"job", submit.job()},
+       {"reason", "route_changed"},
+       {"from", request.from()},
+       {"submitted_under", submit.configuration_version()},
+       {"configuration", ledger().configuration().version()}});
+  wire::ControlReply reply;
+  reply.mutable_result()->mutable_job()->set_verdict(
+      wire::JobOutcome::ROUTE_CHANGED);
+  SendReply(request, std::move(reply));
+  return true;
+}
+
 void FleetService::SendReply(const wire::ControlRequest& request,
                              wire::ControlReply reply) {
   Endpoint to;
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -153,6 +153,9 @@
   // Reads.
   void SendReply(const wire::ControlRequest& request, wire::ControlReply reply);
   void ReplyNotLeader(const wire::ControlRequest& request);
+  // Answers the submission of a batch job whose gateway used a route that is
+  // not in force any more. Returns false for any other.
+  bool RefuseChangedRoute(const wire::ControlRequest& request);
   void AnswerJobQuery(const wire::ControlRequest& request, bool may_wait);
   void AnswerJobBodyQuery(const wire::ControlRequest& request);
   void AnswerPendingJobQueries(TimePoint now);
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -184,16 +184,20 @@
   metrics_.CountJobCall("submit");
   wire::ControlRequest request;
   *request.mutable_command()->mutable_job_submit() = submit;
-  const ChangeOutcome outcome =
-      ToChangeOutcome(control_client_
-                          .SendRequest(yield, std::move(request),
-                                       Clock::now() + kJobCallTimeout)
-                          .certainty);
+  const ControlClient::Answer answer = control_client_.SendRequest(
+      yield, std::move(request), Clock::now() + kJobCallTimeout);
+  const bool route_changed =
+      answer.reply.result().job().verdict() == wire::JobOutcome::ROUTE_CHANGED;
+  const ChangeOutcome outcome = route_changed
+                                    ? ChangeOutcome::kNotDone
+                                    : ToChangeOutcome(answer.certainty);
   Log(LogLevel::kInfo, "job_submitted",
       {{"job", submit.job()},
        {"step", submit.step()},
        {"samples", submit.samples_size()},
        {"min_version", submit.min_version()},
+       {"configuration", submit.configuration_version()},
+       {"route_changed", route_changed},
        {"outcome", outcome == ChangeOutcome::kDone      ? "accepted"
                    : outcome == ChangeOutcome::kNotDone ? "not_done"
                                                         : "uncertain"}});
