Spread gateways that leave a control instance over the others

The order in which a gateway tries the others begins at another place in each. gateways_that_leave_an_instance_spread_over_the_others fails with the former order.

--- a/src/programs/gateway/fleet_subscriber.cc
+++ b/src/programs/gateway/fleet_subscriber.cc
@@ -17,6 +17,9 @@
 constexpr Duration kWatchPeriod = std::chrono::milliseconds(700);
 constexpr Duration kReplyTimeout = std::chrono::milliseconds(300);
 constexpr Duration kCheckPeriod = std::chrono::milliseconds(100);
+// Settings name at most three seeds. The part of a gateway's hash that chose
+// its seed does not choose the next instance.
+constexpr size_t kMaxSeeds = 3;
 
 std::optional<std::chrono::milliseconds> StateAge(const wire::FleetNews& news) {
   if (!news.has_state_age_ms()) {
@@ -34,13 +37,12 @@
     : timers_(timers),
       messenger_(messenger),
       settings_(settings),
-      callbacks_(std::move(callbacks)) {
+      callbacks_(std::move(callbacks)),
+      spread_(std::hash<std::string>()(settings.process.id)) {
   for (const Endpoint& endpoint : settings.ControlEndpoints()) {
     AddControlInstance(endpoint);
   }
-  // Spreads the gateways over the control instances.
-  current_index_ =
-      std::hash<std::string>()(settings.process.id) % control_instances_.size();
+  current_index_ = spread_ % control_instances_.size();
 }
 
 void FleetSubscriber::Start() {
@@ -73,7 +75,9 @@
 size_t FleetSubscriber::NextControlInstance() const {
   const size_t count = control_instances_.size();
   std::optional<size_t> untried;
-  for (size_t step = 1; step < count; ++step) {
+  const size_t others = count - 1;
+  for (size_t i = 0; i < others; ++i) {
+    const size_t step = 1 + (spread_ / kMaxSeeds + i) % others;
     const size_t index = (current_index_ + step) % count;
     const ControlInstance& candidate = control_instances_[index];
     if (!candidate.tried && candidate.reachable) {
--- a/src/programs/gateway/fleet_subscriber.h
+++ b/src/programs/gateway/fleet_subscriber.h
@@ -80,6 +80,9 @@
   Messenger& messenger_;
   const GatewaySettings& settings_;
   Callbacks callbacks_;
+  // Differs between gateways: spreads them over the control instances at the
+  // start, and again when they leave one.
+  const size_t spread_;
   std::vector<ControlInstance> control_instances_;
   size_t current_index_ = 0;
   TimePoint watch_sent_at_;
--- a/tests/gateway/fleet_subscriber_test.cc
+++ b/tests/gateway/fleet_subscriber_test.cc
@@ -1,6 +1,8 @@
 #include "programs/gateway/fleet_subscriber.h"
 
 #include <boost/asio/io_context.hpp>
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -12,11 +14,14 @@
 // A subscriber whose watch requests go nowhere; the tests hand it the news.
 class SubscriberFixture {
  public:
-  SubscriberFixture() { subscriber.Start(); }
+  explicit SubscriberFixture(const std::string& id = "gateway")
+      : settings(MakeSettings(id)) {
+    subscriber.Start();
+  }
 
-  static GatewaySettings Settings() {
+  static GatewaySettings MakeSettings(const std::string& id) {
     GatewaySettings settings;
-    settings.process.id = "gateway";
+    settings.process.id = id;
     settings.peers = {"127.0.0.1", 7000};
     // Only the hosts are used.
     settings.seeds = {{"127.0.0.2", 1}, {"127.0.0.3", 1}, {"127.0.0.4", 1}};
@@ -54,7 +59,7 @@
   boost::asio::io_context io;
   TimerService timers{io};
   Messenger messenger{io, {}, [](std::string_view) {}};
-  const GatewaySettings settings = Settings();
+  const GatewaySettings settings;
   FleetSubscriber subscriber{timers,
                              messenger,
                              settings,
@@ -112,4 +117,19 @@
   }
 }
 
+// All gateways that left an instance went on to the same one.
+Test(fleet_subscriber, gateways_that_leave_an_instance_spread_over_the_others) {
+  std::map<std::string, std::set<std::string>> next_hosts;
+  for (int i = 0; i < 60; ++i) {
+    SubscriberFixture fixture("gateway-" + std::to_string(i));
+    const std::string left = fixture.CurrentHost();
+    fixture.Receive(left, false, 1);
+    next_hosts[left].insert(fixture.CurrentHost());
+  }
+  cr_assert_eq(next_hosts.size(), 3);
+  for (const auto& [left, next] : next_hosts) {
+    cr_assert_eq(next.size(), 2, "from %s", left.c_str());
+  }
+}
+
 }  // namespace limpethatch
