Test that a gateway cuts off an endless answer, and trim comments

The bound on answers had a test in the HTTP client only; the limit that the gateway sets had none. an_endless_answer_is_cut_off_and_the_gateway_keeps_serving asks a gateway whose one target never ends its answer: callers are served by the other, and no more than 24 MiB are taken. Comments that said how a limit was chosen are gone.

--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -24,8 +24,7 @@
 constexpr Duration kFullDigestPeriod = std::chrono::seconds(3);
 // A replica whose state may be older than this has no quorum contact, so that
 // gateways use another one: it lags behind, has just restarted, is cut off, or
-// was removed from the group. A fraction of the time within which a
-// configuration has to be in force.
+// was removed from the group.
 constexpr milliseconds kMaxStateAge{600};
 // Gateways renew their watch at least every second.
 constexpr Duration kWatcherTimeout = std::chrono::seconds(4);
--- a/src/programs/control/sample_runner.cc
+++ b/src/programs/control/sample_runner.cc
@@ -19,7 +19,7 @@
 // Period at which output is recorded. A new leader loses at most the output of
 // this period.
 constexpr Duration kRecordPeriod = std::chrono::milliseconds(250);
-// Maximum size of an event, several hundred times the usual one.
+// Maximum size of an event.
 constexpr size_t kMaxEventBytes = 256UL * 1024;
 // Maximum size of the stream of one run.
 constexpr size_t kMaxStreamBytes = 16UL * 1024 * 1024;
--- a/src/programs/gateway/fleet_subscriber.h
+++ b/src/programs/gateway/fleet_subscriber.h
@@ -69,6 +69,7 @@
   // Goes to the next instance: one that is reachable if possible, and none a
   // second time before all have been tried.
   void SwitchControlInstance(TimePoint now);
+  // Returns its index.
   size_t NextControlInstance() const;
   // Keeps the configuration for the case that no instance has quorum contact.
   void OfferUnconfirmed(const wire::FleetNews& news);
--- a/src/programs/gateway/live_call.cc
+++ b/src/programs/gateway/live_call.cc
@@ -16,8 +16,7 @@
 
 // Maximum size of the body of an answer.
 constexpr size_t kMaxAnswerBytes = 8UL * 1024 * 1024;
-// Maximum size of the answers that are being read, all together. A gateway's
-// machine has about 100 MB.
+// Maximum size of the answers that are being read, all together.
 constexpr size_t kMaxBufferedAnswerBytes = 32UL * 1024 * 1024;
 // A refusal with a longer body is not read to its end, and its connection not
 // reused.
--- a/src/programs/gateway/target_permits.cc
+++ b/src/programs/gateway/target_permits.cc
@@ -10,14 +10,13 @@
 
 using std::chrono::milliseconds;
 
-// For this long an answer to this gateway outweighs the announced limits. It
-// covers the way of a report to the leader and back, a change of leader
-// included.
+// For this long an answer to this gateway outweighs the announced limits, which
+// may not reflect it yet.
 constexpr Duration kStatedTime = std::chrono::seconds(3);
-// Timeout of a permit query: a few round trips within a region. A caller is
-// better served by another target than by a longer wait.
+// Timeout of a permit query. A caller is better served by another target than
+// by a longer wait.
 constexpr Duration kPermitTimeout = milliseconds(150);
-// Timeout of a report; long enough for a leader election.
+// Timeout of a report.
 constexpr Duration kReportTimeout = milliseconds(2500);
 
 }  // namespace
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -15,6 +15,7 @@
 #include <thread>
 #include <vector>
 
+#include "connection/endless_server.h"
 #include "connection/free_endpoint.h"
 #include "envelope.pb.h"
 
@@ -405,4 +406,26 @@
   cr_assert_leq(limited.calls, 1);
 }
 
+// An answer without an end filled the memory of the gateway until the deadline.
+Test(gateway, an_endless_answer_is_cut_off_and_the_gateway_keeps_serving) {
+  constexpr size_t kCutOffAndSocketBuffers = 24UL * 1024 * 1024;
+  EndlessServer endless(std::string("HTTP/1.1 200 OK\r\nRequest-Attempt-Id: ") +
+                            kAttemptId + "\r\nServer-Stamp: s\r\n\r\n",
+                        "x");
+  FakeTarget target([](const HttpRequest& request) {
+    return SignedAnswer(request, kAttemptId);
+  });
+  GatewayFixture fixture;
+  fixture.control->AddTarget("i-1", endless.endpoint());
+  fixture.control->AddTarget("i-2", target.endpoint());
+  fixture.control->Start();
+  fixture.Start();
+  cr_assert(fixture.WaitUntilReady(true));
+  for (int i = 0; i < 4; ++i) {
+    const size_t before = endless.bytes_sent();
+    cr_assert(StatusOf(fixture.Call(Post("/l/x"))) == "200");
+    cr_assert_lt(endless.bytes_sent() - before, kCutOffAndSocketBuffers);
+  }
+}
+
 }  // namespace limpethatch
