Log the steps of a configuration change and the copies sent to gateways

Log arrival and proposal, the time of the whole call, and each push; count the copies. No change of behaviour.

--- a/src/programs/control/control_service.cc
+++ b/src/programs/control/control_service.cc
@@ -155,6 +155,14 @@
   const Result<uint64_t> index =
       replica_.Propose(request.command().SerializeAsString());
   if (index) {
+    if (request.command().has_configuration_put()) {
+      Log(LogLevel::kInfo, "configuration_proposed",
+          {{"version",
+            request.command().configuration_put().configuration().version()},
+           {"index", index.value()},
+           {"term", replica_.consensus()->term()},
+           {"commit_index", replica_.consensus()->commit_index()}});
+    }
     pending_commands_[index.value()] = {replica_.consensus()->term(),
                                         request.reply_to(), request.id(),
                                         ExtractBurnFields(request.command())};
--- a/src/programs/control/fleet_metrics.cc
+++ b/src/programs/control/fleet_metrics.cc
@@ -27,6 +27,9 @@
         HasQuorumContact(Clock::now()) ? 1 : 0);
   gauge("limpethatch_gateways", "Gateways that ask this instance for news.",
         static_cast<double>(watchers_.size()));
+  counter("limpethatch_configurations_sent_total",
+          "Copies of the configuration sent to gateways.",
+          static_cast<double>(configurations_sent_));
   gauge("limpethatch_targets", "Targets known, tombstones included.",
         static_cast<double>(targets_.entries().size()));
   gauge("limpethatch_jobs", "Batch jobs kept.",
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -368,11 +368,18 @@
 ChangeOutcome FleetService::PutConfiguration(
     Yield yield,
     const wire::FleetConfiguration& configuration) {
+  const TimePoint received_at = Clock::now();
+  Log(LogLevel::kInfo, "configuration_received",
+      {{"version", configuration.version()},
+       {"routes", configuration.routes_size()}});
   wire::Command command;
   *command.mutable_configuration_put()->mutable_configuration() = configuration;
   const ChangeOutcome outcome = SubmitCommand(yield, std::move(command));
   Log(LogLevel::kInfo, "configuration_put",
       {{"version", configuration.version()},
+       {"took_ms",
+        std::chrono::duration_cast<milliseconds>(Clock::now() - received_at)
+            .count()},
        {"outcome", outcome == ChangeOutcome::kDone      ? "done"
                    : outcome == ChangeOutcome::kNotDone ? "not_done"
                                                         : "uncertain"}});
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -199,7 +199,8 @@
   std::map<std::string, Watcher> watchers_;  // Gateways by instance id.
   bool push_scheduled_ = false;
   uint64_t pushed_configuration_version_ = 0;
-  bool had_quorum_contact_ = false;  // As of the last log line.
+  uint64_t configurations_sent_ = 0;  // Copies sent to gateways.
+  bool had_quorum_contact_ = false;   // As of the last log line.
 
   std::vector<PendingJobQuery> pending_job_queries_;
   std::vector<PendingConfigurationRead> pending_configuration_reads_;
--- a/src/programs/control/fleet_targets.cc
+++ b/src/programs/control/fleet_targets.cc
@@ -145,9 +145,18 @@
 void FleetService::PushNews() {
   push_scheduled_ = false;
   const TimePoint now = Clock::now();
+  const uint64_t sent_before = configurations_sent_;
   for (auto& [instance, watcher] : watchers_) {
     SendNews(watcher, now);
   }
+  if (configurations_sent_ != sent_before) {
+    Log(LogLevel::kInfo, "configuration_pushed",
+        {{"version", ledger().configuration().version()},
+         {"gateways", configurations_sent_ - sent_before},
+         {"took_ms",
+          std::chrono::duration_cast<milliseconds>(Clock::now() - now)
+              .count()}});
+  }
 }
 
 void FleetService::SendNews(Watcher& watcher, TimePoint now) {
@@ -172,6 +181,7 @@
     *news.mutable_configuration() = configuration;
     news.mutable_configuration()->clear_document();
     watcher.configuration_version = configuration.version();
+    ++configurations_sent_;
   }
   *news.mutable_target_rates() = EncodeRateLimits();
   news.add_control_endpoints(settings_.peers.ToString());
