--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -348,6 +348,23 @@
   cr_assert(fixture.WaitUntilReady(true));
 }
 
+// A gateway whose copy was old answered 404 for routes that had been added.
+Test(gateway, without_quorum_contact_it_does_not_claim_that_a_route_is_absent) {
+  GatewayFixture fixture;
+  fixture.control->Start();
+  fixture.Start();
+  cr_assert(fixture.WaitUntilReady(true));
+  cr_assert(StatusOf(fixture.Call(Post("/other/x"))) == "404");
+  fixture.control->has_quorum_contact = false;
+  cr_assert(fixture.WaitUntilReady(false));
+  const std::string answer = fixture.Call(Post("/other/x"));
+  cr_assert(StatusOf(answer) == "503", "%s", answer.c_str());
+  cr_assert(answer.find("Retry-After") != std::string::npos);
+  fixture.control->has_quorum_contact = true;
+  cr_assert(fixture.WaitUntilReady(true));
+  cr_assert(StatusOf(fixture.Call(Post("/other/x"))) == "404");
+}
+
 // Targets that had stated a rate limit got several times as many requests.
 Test(gateway, a_target_with_a_rate_limit_gets_a_request_only_with_a_permit) {
   std::atomic<bool> limited = true;
