Send a configuration to each gateway once, compressed and in slices

When a configuration of 1,400 routes came into force, the leader copied, encoded and queued all of it anew for each of 104 gateways in one handler. Its event loop was 2.53 s late, so it was deposed; gateways took 0.3 s without a reply for silence, asked the next instance, and got another copy from each that they asked, which deposed the next two leaders in the same way (1.68 and 1.25 s late).

The configuration is now encoded and compressed once for a version and sent in slices of 512 KiB, with the event loop free in between (process/transfer_queue). A gateway that asks again while a copy is on its way is sent no other one unless the connection was lost or the copy stays unconfirmed. The short news states the version first, so that a gateway waits for the transfer instead of taking it for silence.

Ruled out: a slow disk or append, since the change itself was acknowledged in 0.1 to 0.4 s; claims of quorum contact, since none was made.

--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -28,6 +28,9 @@
 constexpr milliseconds kMaxStateAge{600};
 // Gateways renew their watch at least every second.
 constexpr Duration kWatcherTimeout = std::chrono::seconds(4);
+// Time after which a configuration that a gateway has not confirmed is sent
+// again. Gateways confirm with their next watch.
+constexpr Duration kTransferConfirmationTimeout = milliseconds(1200);
 constexpr Duration kLeaderTaskPeriod = milliseconds(50);
 constexpr Duration kPendingReadPeriod = milliseconds(20);
 constexpr Duration kHousekeepingPeriod = std::chrono::seconds(1);
@@ -83,6 +86,7 @@
                [this](HttpExchange& exchange) { ServeMetrics(exchange); }),
       disk_(settings.data_folder),
       epoch_(RandomEpoch()),
+      configuration_transfers_(kTransferConfirmationTimeout),
       sample_runner_(io,
                      timers,
                      scheduler_,
@@ -127,7 +131,11 @@
     ExpireJobs(now);
     DropRateLimitsOfGoneTargets();
     std::erase_if(watchers_, [&](const auto& entry) {
-      return now - entry.second.last_contact_at > kWatcherTimeout;
+      const bool expired = now - entry.second.last_contact_at > kWatcherTimeout;
+      if (expired) {
+        configuration_transfers_.Remove(entry.first);
+      }
+      return expired;
     });
   });
   if (settings_.metrics.port != 0) {
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -20,6 +20,7 @@
 #include "limpethatch/process/disk.h"
 #include "limpethatch/process/member_planner.h"
 #include "limpethatch/process/target_registry.h"
+#include "limpethatch/process/transfer_queue.h"
 #include "limpethatch/version/sample_scheduler.h"
 #include "limpethatch/version/weight_rollout.h"
 #include "programs/control/control_settings.h"
@@ -84,7 +85,6 @@
   };
   struct Watcher {
     Endpoint reply_to;
-    uint64_t configuration_version = 0;
     uint64_t revision = 0;
     TimePoint last_contact_at;
   };
@@ -136,7 +136,15 @@
   void Receive(const wire::Watch& watch);
   void ScheduleNewsPush();
   void PushNews();
+  // Sends what changed. The configuration follows later, in SendConfigurations.
   void SendNews(Watcher& watcher, TimePoint now);
+  wire::FleetNews MakeNews(TimePoint now) const;
+  // Sends the configuration to the gateways that lack it, in slices so that the
+  // event loop stays free for the consensus.
+  void ScheduleConfigurationTransfers(Duration delay);
+  void SendConfigurations(TimePoint now);
+  // The configuration in force, serialised and compressed.
+  const std::string& PackedConfiguration();
 
   // Rate limits of targets.
   // Records what an answer of the target stated, and distributes a change.
@@ -199,8 +207,15 @@
   std::map<std::string, Watcher> watchers_;  // Gateways by instance id.
   bool push_scheduled_ = false;
   uint64_t pushed_configuration_version_ = 0;
+  TransferQueue configuration_transfers_;
+  bool transfers_scheduled_ = false;
+  std::string packed_configuration_;
+  uint64_t packed_version_ = 0;       // 0: nothing is packed.
   uint64_t configurations_sent_ = 0;  // Copies sent to gateways.
-  bool had_quorum_contact_ = false;   // As of the last log line.
+  // Of the distribution that goes on now; 0: none does.
+  uint64_t distribution_gateways_ = 0;
+  TimePoint distribution_started_at_;
+  bool had_quorum_contact_ = false;  // As of the last log line.
 
   std::vector<PendingJobQuery> pending_job_queries_;
   std::vector<PendingConfigurationRead> pending_configuration_reads_;
--- a/src/programs/control/fleet_targets.cc
+++ b/src/programs/control/fleet_targets.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "limpethatch/process/compression.h"
 #include "limpethatch/process/log.h"
 #include "programs/control/fleet_service.h"
 
@@ -16,6 +17,10 @@
 constexpr Duration kSaveDelay = milliseconds(150);
 // Changes within this time are pushed to gateways together.
 constexpr Duration kPushDelay = milliseconds(2);
+// Configurations are sent in slices of about this size, and at this period:
+// less than the link of a control machine carries.
+constexpr size_t kMaxSliceBytes = 512UL * 1024;
+constexpr Duration kSlicePeriod = milliseconds(10);
 
 }  // namespace
 
@@ -125,15 +130,21 @@
   Watcher& watcher = watchers_[watch.instance()];
   if (!ParseEndpoint(watch.reply_to(), &watcher.reply_to)) {
     watchers_.erase(watch.instance());
+    configuration_transfers_.Remove(watch.instance());
     return;
   }
+  configuration_transfers_.OnConfirmed(watch.instance(),
+                                       watch.configuration_version());
   if (watch.answer_missed()) {
     messenger_.Reset(watcher.reply_to);
+    configuration_transfers_.OnConnectionLost(watch.instance());
   }
   watcher.last_contact_at = now;
-  watcher.configuration_version = watch.configuration_version();
   watcher.revision = watch.epoch() == epoch_ ? watch.revision() : 0;
   SendNews(watcher, now);
+  if (watch.configuration_version() < ledger().configuration().version()) {
+    ScheduleConfigurationTransfers(Duration::zero());
+  }
 }
 
 void FleetService::ScheduleNewsPush() {
@@ -145,44 +156,22 @@
 void FleetService::PushNews() {
   push_scheduled_ = false;
   const TimePoint now = Clock::now();
-  const uint64_t sent_before = configurations_sent_;
   for (auto& [instance, watcher] : watchers_) {
     SendNews(watcher, now);
   }
-  if (configurations_sent_ != sent_before) {
-    Log(LogLevel::kInfo, "configuration_pushed",
-        {{"version", ledger().configuration().version()},
-         {"gateways", configurations_sent_ - sent_before},
-         {"took_ms",
-          std::chrono::duration_cast<milliseconds>(Clock::now() - now)
-              .count()}});
-  }
+  ScheduleConfigurationTransfers(Duration::zero());
 }
 
-void FleetService::SendNews(Watcher& watcher, TimePoint now) {
-  wire::Envelope envelope;
-  wire::FleetNews& news = *envelope.mutable_fleet_news();
+wire::FleetNews FleetService::MakeNews(TimePoint now) const {
+  wire::FleetNews news;
   news.set_from(settings_.peers.ToString());
   news.set_quorum_contact(HasQuorumContact(now));
   if (const std::optional<milliseconds> age = StateAge(now)) {
     news.set_state_age_ms(static_cast<uint64_t>(age->count()));
   }
   news.set_epoch(epoch_);
-  news.set_base_revision(watcher.revision);
-  news.set_revision(targets_.revision());
   news.set_leader(replica_.LeaderEndpoint());
-  for (wire::TargetRecord& target :
-       targets_.ChangedSince(watcher.revision, now)) {
-    target.clear_weights();
-    *news.add_targets() = std::move(target);
-  }
-  if (const wire::FleetConfiguration& configuration = ledger().configuration();
-      configuration.version() > watcher.configuration_version) {
-    *news.mutable_configuration() = configuration;
-    news.mutable_configuration()->clear_document();
-    watcher.configuration_version = configuration.version();
-    ++configurations_sent_;
-  }
+  news.set_configuration_version(ledger().configuration().version());
   *news.mutable_target_rates() = EncodeRateLimits();
   news.add_control_endpoints(settings_.peers.ToString());
   for (const auto& [id, peer] : peers_) {
@@ -190,8 +179,82 @@
       news.add_control_endpoints(peer.record.endpoint());
     }
   }
+  return news;
+}
+
+void FleetService::SendNews(Watcher& watcher, TimePoint now) {
+  wire::Envelope envelope;
+  wire::FleetNews& news = *envelope.mutable_fleet_news();
+  news = MakeNews(now);
+  news.set_base_revision(watcher.revision);
+  news.set_revision(targets_.revision());
+  for (wire::TargetRecord& target :
+       targets_.ChangedSince(watcher.revision, now)) {
+    target.clear_weights();
+    *news.add_targets() = std::move(target);
+  }
   watcher.revision = targets_.revision();
   messenger_.Send(watcher.reply_to, envelope.SerializeAsString());
 }
 
+void FleetService::ScheduleConfigurationTransfers(Duration delay) {
+  if (!std::exchange(transfers_scheduled_, true)) {
+    timers_.After(delay, [this](TimePoint) {
+      transfers_scheduled_ = false;
+      SendConfigurations(Clock::now());
+    });
+  }
+}
+
+const std::string& FleetService::PackedConfiguration() {
+  const wire::FleetConfiguration& configuration = ledger().configuration();
+  if (packed_version_ != configuration.version()) {
+    packed_version_ = configuration.version();
+    wire::FleetConfiguration without_document = configuration;
+    without_document.clear_document();
+    packed_configuration_ =
+        CompressCommand(without_document.SerializeAsString());
+  }
+  return packed_configuration_;
+}
+
+void FleetService::SendConfigurations(TimePoint now) {
+  const uint64_t version = ledger().configuration().version();
+  if (version == 0) {
+    return;
+  }
+  const std::string& packed = PackedConfiguration();
+  const size_t limit =
+      std::max<size_t>(kMaxSliceBytes / std::max<size_t>(packed.size(), 1), 1);
+  const std::vector<std::string> gateways =
+      configuration_transfers_.Next(version, limit, now);
+  if (!gateways.empty() && distribution_gateways_ == 0) {
+    distribution_started_at_ = now;
+  }
+  wire::Envelope envelope;
+  if (!gateways.empty()) {
+    *envelope.mutable_fleet_news() = MakeNews(now);
+    envelope.mutable_fleet_news()->set_packed_configuration(packed);
+  }
+  for (const std::string& gateway : gateways) {
+    const Watcher& watcher = watchers_.at(gateway);
+    envelope.mutable_fleet_news()->set_base_revision(watcher.revision);
+    envelope.mutable_fleet_news()->set_revision(watcher.revision);
+    messenger_.Send(watcher.reply_to, envelope.SerializeAsString());
+  }
+  configurations_sent_ += gateways.size();
+  distribution_gateways_ += gateways.size();
+  if (gateways.size() == limit) {
+    ScheduleConfigurationTransfers(kSlicePeriod);
+  } else if (distribution_gateways_ > 0) {
+    Log(LogLevel::kInfo, "configuration_pushed",
+        {{"version", version},
+         {"gateways", std::exchange(distribution_gateways_, 0)},
+         {"bytes", packed.size()},
+         {"took_ms", std::chrono::duration_cast<milliseconds>(
+                         Clock::now() - distribution_started_at_)
+                         .count()}});
+  }
+}
+
 }  // namespace limpethatch
--- a/src/programs/gateway/fleet_subscriber.cc
+++ b/src/programs/gateway/fleet_subscriber.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "envelope.pb.h"
+#include "limpethatch/process/compression.h"
 #include "limpethatch/process/log.h"
 
 namespace limpethatch {
@@ -16,6 +17,8 @@
 // period and the reply timeout are a fraction of that.
 constexpr Duration kWatchPeriod = std::chrono::milliseconds(700);
 constexpr Duration kReplyTimeout = std::chrono::milliseconds(300);
+// While a configuration is on its way, the reply comes behind it.
+constexpr Duration kTransferReplyTimeout = std::chrono::seconds(1);
 constexpr Duration kCheckPeriod = std::chrono::milliseconds(100);
 // Settings name at most three seeds. The part of a gateway's hash that chose
 // its seed does not choose the next instance.
@@ -28,6 +31,30 @@
   return std::chrono::milliseconds(news.state_age_ms());
 }
 
+// The configuration in `news` if it is newer than `version`.
+std::optional<wire::FleetConfiguration> NewerConfiguration(
+    const wire::FleetNews& news,
+    uint64_t version) {
+  if (news.has_configuration() && news.configuration().version() > version) {
+    return news.configuration();
+  }
+  if (news.packed_configuration().empty() ||
+      news.configuration_version() <= version) {
+    return std::nullopt;
+  }
+  const std::optional<std::string> bytes =
+      DecompressCommand(news.packed_configuration());
+  wire::FleetConfiguration configuration;
+  if (!bytes || !configuration.ParseFromString(*bytes)) {
+    Log(LogLevel::kError, "configuration_unreadable",
+        {{"version", news.configuration_version()},
+         {"from", news.from()},
+         {"bytes", news.packed_configuration().size()}});
+    return std::nullopt;
+  }
+  return configuration;
+}
+
 }  // namespace
 
 FleetSubscriber::FleetSubscriber(TimerService& timers,
@@ -38,7 +65,8 @@
       messenger_(messenger),
       settings_(settings),
       callbacks_(std::move(callbacks)),
-      spread_(std::hash<std::string>()(settings.process.id)) {
+      spread_(std::hash<std::string>()(settings.process.id)),
+      freshness_(Clock::now()) {
   for (const Endpoint& endpoint : settings.ControlEndpoints()) {
     AddControlInstance(endpoint);
   }
@@ -61,7 +89,9 @@
 
 void FleetSubscriber::CheckReply(TimePoint now) {
   const Duration elapsed = now - watch_sent_at_;
-  if (!reply_received_ && elapsed >= kReplyTimeout) {
+  const Duration timeout =
+      freshness_.ExpectsTransfer(now) ? kTransferReplyTimeout : kReplyTimeout;
+  if (!reply_received_ && elapsed >= timeout) {
     reply_missed_ = true;
     messenger_.Reset(current().endpoint);
     Log(LogLevel::kInfo, "control_instance_abandoned",
@@ -104,8 +134,8 @@
   for (ControlInstance& known : control_instances_) {
     known.tried = false;
   }
-  if (!routes_ && unconfirmed_news_) {
-    PutInForce(*unconfirmed_news_);
+  if (!routes_ && unconfirmed_) {
+    PutInForce(unconfirmed_->news, unconfirmed_->configuration);
   }
   // The next round begins with the next periodic check and not at once, as all
   // control instances may be without a quorum.
@@ -137,18 +167,19 @@
   }
   // A newer configuration is accepted from any control instance, as versions
   // only increase. The first one must be recent, though.
-  if (news.has_configuration() &&
-      (!routes_ || news.configuration().version() > routes_->version())) {
+  const TimePoint now = Clock::now();
+  if (const auto newer =
+          NewerConfiguration(news, routes_ ? routes_->version() : 0)) {
     if (routes_ || news.quorum_contact()) {
-      PutInForce(news);
+      PutInForce(news, *newer);
     } else {
-      OfferUnconfirmed(news);
+      OfferUnconfirmed(news, *newer);
     }
   }
+  ReportFreshness(news, now);
   if (news.from() != current().endpoint.ToString()) {
     return;
   }
-  const TimePoint now = Clock::now();
   reply_received_ = true;
   if (news.base_revision() == 0 || news.epoch() != epoch_ ||
       news.base_revision() <= revision_) {
@@ -166,6 +197,7 @@
     return;
   }
   last_quorum_contact_at_ = now;
+  freshness_.SetInstances(static_cast<size_t>(news.control_endpoints_size()));
   callbacks_.on_target_rates(news.target_rates());
   for (ControlInstance& known : control_instances_) {
     known.tried = false;
@@ -176,22 +208,40 @@
   }
 }
 
-void FleetSubscriber::OfferUnconfirmed(const wire::FleetNews& news) {
-  if (!unconfirmed_news_ || unconfirmed_news_->configuration().version() <
-                                news.configuration().version()) {
-    unconfirmed_news_ = news;
-    unconfirmed_news_->clear_targets();
+void FleetSubscriber::ReportFreshness(const wire::FleetNews& news,
+                                      TimePoint now) {
+  ConfigurationReport report;
+  report.instance = news.from();
+  report.version =
+      std::max(news.configuration_version(), news.configuration().version());
+  if (news.quorum_contact()) {
+    report.age = StateAge(news);
+  }
+  freshness_.OnReport(report, now);
+}
+
+void FleetSubscriber::OfferUnconfirmed(
+    const wire::FleetNews& news,
+    const wire::FleetConfiguration& configuration) {
+  if (!unconfirmed_ ||
+      unconfirmed_->configuration.version() < configuration.version()) {
+    unconfirmed_.emplace(UnconfirmedConfiguration{news, configuration});
+    unconfirmed_->news.clear_targets();
+    unconfirmed_->news.clear_packed_configuration();
   }
 }
 
-void FleetSubscriber::PutInForce(const wire::FleetNews& news) {
-  routes_ = std::make_shared<RouteTable>(news.configuration());
+void FleetSubscriber::PutInForce(
+    const wire::FleetNews& news,
+    const wire::FleetConfiguration& configuration) {
+  routes_ = std::make_shared<RouteTable>(configuration);
+  freshness_.OnInForce(routes_->version());
   Log(LogLevel::kInfo, "configuration_in_force",
       {{"version", routes_->version()},
        {"from", news.from()},
        {"quorum_contact", news.quorum_contact()},
        {"state_age_ms", StateAge(news)}});
-  unconfirmed_news_.reset();
+  unconfirmed_.reset();
 }
 
 void FleetSubscriber::ApplyTargets(const wire::FleetNews& news) {
--- a/src/programs/gateway/fleet_subscriber.h
+++ b/src/programs/gateway/fleet_subscriber.h
@@ -12,6 +12,7 @@
 #include "fleet.pb.h"
 #include "limpethatch/connection/messenger.h"
 #include "limpethatch/process/timer_service.h"
+#include "limpethatch/request/configuration_freshness.h"
 #include "limpethatch/request/route_table.h"
 #include "limpethatch/request/target.h"
 #include "programs/gateway/gateway_settings.h"
@@ -46,6 +47,9 @@
   // Null before the first configuration.
   const RouteTablePtr& routes() const { return routes_; }
   const TargetTable& targets() const { return target_table_; }
+  const ConfigurationFreshness& configuration_freshness() const {
+    return freshness_;
+  }
   // Whether the current control instance last reported contact with a quorum;
   // false after a missed reply.
   bool has_quorum_contact() const { return has_quorum_contact_; }
@@ -72,8 +76,11 @@
   // Returns its index.
   size_t NextControlInstance() const;
   // Keeps the configuration for the case that no instance has quorum contact.
-  void OfferUnconfirmed(const wire::FleetNews& news);
-  void PutInForce(const wire::FleetNews& news);
+  void OfferUnconfirmed(const wire::FleetNews& news,
+                        const wire::FleetConfiguration& configuration);
+  void PutInForce(const wire::FleetNews& news,
+                  const wire::FleetConfiguration& configuration);
+  void ReportFreshness(const wire::FleetNews& news, TimePoint now);
   void ApplyTargets(const wire::FleetNews& news);
   void RebuildTargetTable();
 
@@ -98,9 +105,14 @@
   std::map<std::string, wire::TargetRecord> target_records_;
   TargetTable target_table_;
   RouteTablePtr routes_;
-  // The newest news with a configuration from instances without quorum contact;
-  // null once a configuration is in force.
-  std::optional<wire::FleetNews> unconfirmed_news_;
+  ConfigurationFreshness freshness_;
+  struct UnconfirmedConfiguration {
+    wire::FleetNews news;
+    wire::FleetConfiguration configuration;
+  };
+  // The newest configuration from instances without quorum contact; null once
+  // one is in force.
+  std::optional<UnconfirmedConfiguration> unconfirmed_;
 };
 
 }  // namespace limpethatch
--- a/tests/control/configuration_distribution_test.cc
+++ b/tests/control/configuration_distribution_test.cc
@@ -136,7 +136,7 @@
           cr_assert(envelope.ParseFromArray(bytes.data(),
                                             static_cast<int>(bytes.size())));
           ++news;
-          if (envelope.fleet_news().has_configuration()) {
+          if (!envelope.fleet_news().packed_configuration().empty()) {
             ++configurations;
           }
         }) {
