Answer 503 where a newer configuration may have changed a route

The gateways knew that they had no quorum contact, and answered from their copy as if it were the newest.

An old copy cannot prove that a route is absent: a gateway answers 404 only while its copy was confirmed within 1.5 s, and otherwise 503 with Retry-After. A route that the copy has is not used either once a newer version was announced in vain or nobody could confirm the copy, as long as most control instances answer. A gateway that is cut off from most of them, or has just started, serves by what it has: no change can reach it, and its callers are better off (request/configuration_freshness).

--- a/src/limpethatch/connection/fleet_interface.h
+++ b/src/limpethatch/connection/fleet_interface.h
@@ -69,6 +69,11 @@
 
   // Null until the first configuration has arrived.
   virtual RouteTablePtr routes() const = 0;
+  // Whether routes() was recently known to be the newest configuration, so that
+  // it proves that a route is absent.
+  virtual bool IsConfigurationCurrent() const = 0;
+  // Whether a newer configuration may have changed the routes in routes().
+  virtual bool IsConfigurationOutdated() const = 0;
   // Answers a live request on `route`.
   virtual void ServeLive(HttpExchange& exchange, const wire::Route& route) = 0;
   virtual ChangeOutcome SubmitJob(Yield yield,
--- a/src/limpethatch/request/configuration_freshness.h
+++ b/src/limpethatch/request/configuration_freshness.h
@@ -19,7 +19,7 @@
 struct ConfigurationFreshnessOptions {
   // A copy is current for this time after it was last known to be the newest. A
   // change must be in force within 2 s of its acknowledgement.
-  Duration max_age = std::chrono::milliseconds(1800);
+  Duration max_age = std::chrono::milliseconds(1500);
   // A control instance counts as reachable for this time after its last report.
   Duration reachable_time = std::chrono::seconds(2);
   // A gateway that started less than this ago serves by what it could get.
--- a/src/programs/gateway/gateway.h
+++ b/src/programs/gateway/gateway.h
@@ -38,6 +38,12 @@
   void Run();
 
   RouteTablePtr routes() const override { return fleet_subscriber_.routes(); }
+  bool IsConfigurationCurrent() const override {
+    return fleet_subscriber_.configuration_freshness().IsCurrent(Clock::now());
+  }
+  bool IsConfigurationOutdated() const override {
+    return fleet_subscriber_.configuration_freshness().IsOutdated(Clock::now());
+  }
   void ServeLive(HttpExchange& exchange, const wire::Route& route) override;
   ChangeOutcome SubmitJob(Yield yield, const wire::JobSubmit& submit) override;
   ChangeOutcome EndJob(Yield yield,
