Continue a sample only on the software version that began it

A trainer could get text joined from two software versions of an engine.

The scheduler resumes on an engine of the same version; if those are full it waits for 1 s, and if there is none, the sample begins anew at once. The runner discards text that only it knows of, and the ledger ignores events of another version. Slow runs move within their version only.

With the three checks taken out, in trials, these fail: the ledger's events_of_another_software_version_are_ignored, three of sample_scheduler_test (..._resumed_by_the_software_that_began_it, ..._waits_for_its_software_..., a_slow_run_does_not_move_...), and sample_runner_test.

--- a/src/limpethatch/process/target_registry.cc
+++ b/src/limpethatch/process/target_registry.cc
@@ -11,7 +11,8 @@
   return a.service() == b.service() && a.address() == b.address() &&
          a.zone() == b.zone() && a.slots() == b.slots() &&
          a.draining() == b.draining() && a.gone() == b.gone() &&
-         a.born_ms() == b.born_ms();
+         a.born_ms() == b.born_ms() &&
+         a.software_version() == b.software_version();
 }
 
 }  // namespace
--- a/src/limpethatch/version/engine_table.cc
+++ b/src/limpethatch/version/engine_table.cc
@@ -42,6 +42,7 @@
   engine.address = address;
   engine.service = record.service();
   engine.zone = record.zone();
+  engine.software_version = record.software_version();
   engine.slots = std::max<uint32_t>(record.slots(), 1);
   engine.born_ms = record.born_ms();
   if (const auto tokens = cache_tokens_.find(record.service());
--- a/src/limpethatch/version/engine_table.h
+++ b/src/limpethatch/version/engine_table.h
@@ -31,6 +31,8 @@
   Endpoint address;
   std::string service;
   std::string zone;
+  // Output of engines with different software versions can't be combined.
+  std::string software_version;
   uint32_t slots = 1;
   uint64_t born_ms = 0;       // Start time, which identifies an incarnation.
   uint64_t cache_tokens = 0;  // Capacity of its KV cache; 0: unknown.
--- a/src/limpethatch/version/job_ledger.cc
+++ b/src/limpethatch/version/job_ledger.cc
@@ -58,6 +58,7 @@
     sample.set_failures(record.failures);
     sample.set_whole(record.output.whole);
     sample.set_carried(record.carried);
+    sample.set_software_version(record.output.software_version);
     for (const uint64_t version : record.output.versions) {
       sample.add_versions(version);
     }
@@ -78,7 +79,8 @@
     record.output = {sample.text(),
                      sample.events(),
                      {sample.versions().begin(), sample.versions().end()},
-                     sample.whole()};
+                     sample.whole(),
+                     sample.software_version()};
   }
   return job;
 }
@@ -231,6 +233,15 @@
   if (advance.after_event() != record.output.events) {
     return;
   }
+  // Earlier releases state no software version.
+  if (record.output.events > 0 && !advance.software_version().empty() &&
+      !record.output.software_version.empty() &&
+      advance.software_version() != record.output.software_version) {
+    return;
+  }
+  if (record.output.events == 0) {
+    record.output.software_version = advance.software_version();
+  }
   Append(advance, &record.output);
   if (!VersionsAllowed(job.submit, record.output.versions)) {
     record.output = {};
--- a/src/limpethatch/version/job_ledger.h
+++ b/src/limpethatch/version/job_ledger.h
@@ -29,6 +29,7 @@
   uint32_t events = 0;
   std::vector<uint64_t> versions;  // Ascending, without duplicates.
   bool whole = false;              // The sample has completed.
+  std::string software_version;    // Of the engines that generated it.
 
   std::string Decompressed() const;
 };
--- a/src/limpethatch/version/sample_scheduler.cc
+++ b/src/limpethatch/version/sample_scheduler.cc
@@ -40,6 +40,10 @@
     return !job || job->ended ||
            job->samples[key.index].state != wire::SAMPLE_OPEN;
   });
+  std::erase_if(resume_waits_, [&](const auto& entry) {
+    const Job* job = jobs.Find(entry.first.job);
+    return !job || job->ended;
+  });
   PlanStops(jobs, now, &plan);
   for (const Candidate& candidate : Waiting(jobs, now)) {
     if (EngineState* engine = ChooseEngine(candidate, now)) {
@@ -105,6 +109,7 @@
       [&](const auto& entry) {
         const EngineState& other = entry.second;
         return other.service == engine.service && other.Usable(now) &&
+               other.software_version == engine.software_version &&
                other.running + 1 < other.slots &&
                other.event_gap < median_gap * options_.slow_factor &&
                other.ServableVersion(run.model, now) >=
@@ -195,6 +200,33 @@
 
 EngineState* SampleScheduler::ChooseEngine(const Candidate& candidate,
                                            TimePoint now) {
+  const SampleText& output = candidate.job->samples[candidate.key.index].output;
+  if (output.events == 0) {
+    return BestEngine(candidate, nullptr, now);
+  }
+  if (EngineState* engine =
+          BestEngine(candidate, &output.software_version, now)) {
+    return engine;
+  }
+  const std::string& service = candidate.job->submit.service();
+  const bool may_resume = std::any_of(
+      engine_table_.engines().begin(), engine_table_.engines().end(),
+      [&](const auto& entry) {
+        return entry.second.service == service &&
+               entry.second.software_version == output.software_version;
+      });
+  if (may_resume) {
+    const auto wait = resume_waits_.try_emplace(candidate.key, now).first;
+    if (now - wait->second < options_.max_resume_wait) {
+      return nullptr;
+    }
+  }
+  return BestEngine(candidate, nullptr, now);
+}
+
+EngineState* SampleScheduler::BestEngine(const Candidate& candidate,
+                                         const std::string* software_version,
+                                         TimePoint now) {
   const wire::JobSubmit& submit = candidate.job->submit;
   const auto& sample = submit.samples(static_cast<int>(candidate.key.index));
   const SampleText& output = candidate.job->samples[candidate.key.index].output;
@@ -204,6 +236,9 @@
   EngineState* best = nullptr;
   double best_cost = std::numeric_limits<double>::max();
   for (auto& [id, engine] : engine_table_.engines()) {
+    if (software_version && engine.software_version != *software_version) {
+      continue;
+    }
     const uint64_t version = engine.ServableVersion(submit.model(), now);
     const bool fits_version =
         version != 0 && version >= submit.min_version() &&
@@ -255,7 +290,9 @@
   run.model = submit.model();
   run.group = sample.group();
   run.tokens = sample.prompt_tokens() + sample.expected_tokens();
-  run.events = candidate.job->samples[candidate.key.index].output.events;
+  const SampleText& output = candidate.job->samples[candidate.key.index].output;
+  run.events =
+      output.software_version == engine.software_version ? output.events : 0;
   run.expected_events = ExpectedEvents(submit, sample);
   run.last_progress = now;
   rate_limits_.Acquire(engine.id, {}, now);
@@ -263,8 +300,10 @@
   engine.reserved_tokens += run.tokens;
   ++engine.running_by_model[run.model];
   ++engine.groups[run.group];
-  plan->starts.push_back(
-      {candidate.key, engine.id, engine.ServableVersion(submit.model(), now)});
+  resume_waits_.erase(candidate.key);
+  plan->starts.push_back({candidate.key, engine.id,
+                          engine.ServableVersion(submit.model(), now),
+                          engine.software_version});
 }
 
 void SampleScheduler::RecordEvents(const SampleKey& key,
@@ -336,6 +375,7 @@
   runs_.clear();
   retry_states_.clear();
   done_unlisted_.clear();
+  resume_waits_.clear();
 }
 
 bool SampleScheduler::idle(const JobLedger& jobs) const {
--- a/src/limpethatch/version/sample_scheduler.h
+++ b/src/limpethatch/version/sample_scheduler.h
@@ -33,7 +33,8 @@
 struct SampleStart {
   SampleKey key;
   std::string engine;
-  uint64_t version = 0;  // Weights that the engine is expected to have.
+  uint64_t version = 0;          // Weights that the engine is expected to have.
+  std::string software_version;  // Of the engine.
 };
 
 enum class StopReason {
@@ -77,6 +78,9 @@
   // Time during which a sample that was moved off an engine does not return
   // there and is not moved again.
   Duration exclusion_period = std::chrono::seconds(3);
+  // Time that a sample with recorded text waits for an engine of the software
+  // version that generated it, before it begins anew on another one.
+  Duration max_resume_wait = std::chrono::seconds(1);
   // Delay before another try of a sample whose runs broke twice without an
   // event.
   Duration suspect_retry_delay = std::chrono::seconds(2);
@@ -144,6 +148,11 @@
                   std::vector<Candidate>* needed,
                   std::vector<Candidate>* spare) const;
   EngineState* ChooseEngine(const Candidate& candidate, TimePoint now);
+  // The engine that takes the sample at the least cost; null if none can now. A
+  // null `software_version` stands for any.
+  EngineState* BestEngine(const Candidate& candidate,
+                          const std::string* software_version,
+                          TimePoint now);
   uint32_t ExpectedEvents(const wire::JobSubmit& submit,
                           const wire::JobSample& sample) const;
   void Start(const Candidate& candidate,
@@ -158,6 +167,8 @@
   std::map<SampleKey, Run> runs_;
   std::map<SampleKey, RetryState> retry_states_;
   std::set<SampleKey> done_unlisted_;
+  // Samples that wait for an engine of their software version, since when.
+  std::map<SampleKey, TimePoint> resume_waits_;
   std::map<std::string, uint32_t, std::less<>> tokens_per_event_;
 };
 
--- a/src/programs/control/fleet_targets.cc
+++ b/src/programs/control/fleet_targets.cc
@@ -75,6 +75,7 @@
            {"service", record.service()},
            {"address", record.address()},
            {"incarnation", record.born_ms()},
+           {"software_version", record.software_version()},
            {"sequence", record.sequence()},
            {"draining", record.draining()},
            {"gone", record.gone()}});
--- a/src/programs/control/sample_runner.cc
+++ b/src/programs/control/sample_runner.cc
@@ -84,6 +84,7 @@
     const SampleText& output = job.samples[start.key.index].output;
     progress.proposed = output.events;
     progress.versions = {output.versions.begin(), output.versions.end()};
+    progress.software_version = output.software_version;
   }
   return progress;
 }
@@ -99,6 +100,18 @@
       *progress.versions.begin() != start.version) {
     DiscardOutput(progress);
   }
+  if (progress.total() > 0 &&
+      progress.software_version != start.software_version) {
+    Log(LogLevel::kInfo, "sample_text_discarded",
+        {{"job", start.key.job},
+         {"sample", job.submit.samples(static_cast<int>(start.key.index)).id()},
+         {"events", progress.total()},
+         {"software_version", progress.software_version},
+         {"target", start.engine},
+         {"target_software_version", start.software_version}});
+    DiscardOutput(progress);
+  }
+  progress.software_version = start.software_version;
   auto run = std::make_shared<Run>();
   run->start = start;
   run->sample = job.submit.samples(static_cast<int>(start.key.index));
@@ -118,6 +131,7 @@
       {{"job", start.key.job},
        {"sample", run->sample.id()},
        {"target", start.engine},
+       {"software_version", start.software_version},
        {"weights", start.version},
        {"after_event", progress.total()},
        {"running_there", engine->running}});
@@ -320,8 +334,10 @@
 
 void SampleRunner::DiscardOutput(Progress& progress) {
   const uint32_t failures = progress.failures;
+  std::string software_version = std::move(progress.software_version);
   progress = {};
   progress.failures = failures;
+  progress.software_version = std::move(software_version);
   progress.discard = true;
 }
 
@@ -351,6 +367,7 @@
     advance.set_state(progress.state);
     advance.set_discard(progress.discard);
     advance.set_failures(progress.failures);
+    advance.set_software_version(progress.software_version);
   }
   if (advances.advances_size() == 0 || !listener_.record_advances(advances)) {
     return;
--- a/src/programs/control/sample_runner.h
+++ b/src/programs/control/sample_runner.h
@@ -67,6 +67,7 @@
     std::vector<std::string> events;  // Not yet proposed.
     std::set<uint64_t> versions;      // That generated any event.
     std::set<uint64_t> new_versions;  // Not yet proposed.
+    std::string software_version;     // Of the engines that generated it.
     uint32_t failures = 0;
     wire::SampleState state = wire::SAMPLE_OPEN;
     bool discard = false;  // Output recorded so far is to be discarded.
--- /dev/null
+++ b/tests/control/sample_runner_test.cc
@@ -0,0 +1,145 @@
+#include "programs/control/sample_runner.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "connection/free_endpoint.h"
+
+#include <criterion/criterion.h>
+
+namespace limpethatch {
+namespace {
+
+using boost::asio::ip::tcp;
+
+// An engine that answers one request with two events, ends within the third,
+// and keeps the head of the request.
+class BreakingEngine {
+ public:
+  BreakingEngine() : endpoint_(FreeEndpoint()) {
+    acceptor_.open(tcp::v4());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(
+        {boost::asio::ip::make_address_v4(endpoint_.host), endpoint_.port});
+    acceptor_.listen();
+    thread_ = std::thread([this] { Serve(); });
+  }
+  ~BreakingEngine() { thread_.join(); }
+
+  const Endpoint& endpoint() const { return endpoint_; }
+  // Valid once the answer has arrived.
+  const std::string& request_head() const { return request_head_; }
+
+ private:
+  void Serve() {
+    tcp::socket socket(io_);
+    acceptor_.accept(socket);
+    boost::system::error_code ignored;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(request_head_),
+                            "\r\n\r\n", ignored);
+    const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: sample\r\n"
+        "Server-Stamp: stamp\r\nWeight-Versions: 5\r\n"
+        "Content-Length: " +
+        std::to_string(events.size()) + "\r\n\r\n" + events;
+    boost::asio::write(socket, boost::asio::buffer(answer), ignored);
+  }
+
+  const Endpoint endpoint_;
+  boost::asio::io_context io_;
+  tcp::acceptor acceptor_{io_};
+  std::string request_head_;
+  std::thread thread_;
+};
+
+class RunnerFixture {
+ public:
+  RunnerFixture() {
+    wire::JobSubmit submit;
+    submit.set_job("job");
+    submit.set_service("coach");
+    submit.set_model("model");
+    submit.set_host("shop.example");
+    wire::JobSample& sample = *submit.add_samples();
+    sample.set_id("sample");
+    sample.set_path("/s");
+    jobs.Apply(submit);
+  }
+
+  // Runs the sample on `engine` until the run has ended.
+  void Run(const BreakingEngine& engine,
+           const std::string& id,
+           const std::string& software_version) {
+    wire::TargetRecord record;
+    record.set_id(id);
+    record.set_service("coach");
+    record.set_address(engine.endpoint().ToString());
+    record.set_born_ms(1);
+    record.set_software_version(software_version);
+    wire::ModelWeights& weights = *record.add_weights();
+    weights.set_model("model");
+    weights.set_version(5);
+    scheduler.engine_table().Announce(record);
+    const uint64_t broken_before = runner.counters().broken;
+    runner.Start({{"job", 0}, id, 5, software_version}, *jobs.Find("job"));
+    while (runner.counters().broken == broken_before) {
+      io.run_one();
+    }
+  }
+
+  JobLedger jobs;
+  std::vector<wire::SamplesAdvance> recorded;
+  boost::asio::io_context io;
+  TimerService timers{io};
+  SampleScheduler scheduler;
+  SampleRunner runner{io,
+                      timers,
+                      scheduler,
+                      {[this](const wire::SamplesAdvance& advances) {
+                         recorded.push_back(advances);
+                         return true;
+                       },
+                       [] {}, [](auto&, auto, auto) {}}};
+};
+
+}  // namespace
+
+// A stream that had broken off was continued by an engine of another software
+// version, and the text was joined from both. The events were not recorded yet,
+// so that only the runner knew of them.
+Test(sample_runner, unrecorded_text_is_not_continued_by_another_software) {
+  BreakingEngine first;
+  BreakingEngine second;
+  RunnerFixture fixture;
+  fixture.Run(first, "i-1", "v1");
+  fixture.Run(second, "i-2", "v2");
+  cr_assert(second.request_head().find("Last-Event-Id") == std::string::npos,
+            "%s", second.request_head().c_str());
+  fixture.runner.Flush();
+  for (const wire::SamplesAdvance& advances : fixture.recorded) {
+    fixture.jobs.Apply(advances);
+  }
+  const SampleText& output = fixture.jobs.Find("job")->samples[0].output;
+  cr_assert(output.text == "a\nb", "%s", output.text.c_str());
+  cr_assert(output.software_version == "v2");
+}
+
+Test(sample_runner, unrecorded_text_is_continued_by_the_same_software) {
+  BreakingEngine first;
+  BreakingEngine second;
+  RunnerFixture fixture;
+  fixture.Run(first, "i-1", "v1");
+  fixture.Run(second, "i-2", "v1");
+  cr_assert(second.request_head().find("Last-Event-Id: 2") !=
+            std::string::npos);
+}
+
+}  // namespace limpethatch
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -84,6 +84,7 @@
   cr_assert(DecodeAnnouncement("i-1", valid, &target, &problem), "%s",
             problem.c_str());
   cr_assert(target.weights(0).version() == 3 && target.sequence() == 4);
+  cr_assert(target.software_version() == "v1");
   const auto refused = [&](std::string_view from, std::string_view to) {
     std::string text = valid;
     text.replace(text.find(from), from.size(), to);
@@ -91,6 +92,7 @@
     return !DecodeAnnouncement("i-1", text, &other, &problem);
   };
   cr_assert(refused("\"ready\"", "\"asleep\""));
+  cr_assert(refused("\"version\":\"v1\"", "\"version\":1"));
   cr_assert(refused("\"slots\":12", "\"slots\":\"12\""));
   cr_assert(refused("1770000000000", "1.5"));
   cr_assert(refused("10.0.0.9:80", "nowhere"));
--- a/tests/version/job_ledger_test.cc
+++ b/tests/version/job_ledger_test.cc
@@ -73,6 +73,43 @@
   cr_assert(page.results(0).versions_size() == 2);
 }
 
+// The text of a sample was joined from engines of two software versions.
+Test(job_ledger, events_of_another_software_version_are_ignored) {
+  JobLedger ledger;
+  ledger.Apply(SubmitOf("job", 1));
+  wire::SamplesAdvance first = AdvanceOf("job", 0, 0, {"a", "b"}, {2});
+  first.mutable_advances(0)->set_software_version("v1");
+  wire::SamplesAdvance second = AdvanceOf("job", 0, 2, {"c"}, {2});
+  second.mutable_advances(0)->set_software_version("v2");
+  ledger.Apply(first);
+  wire::FleetSnapshot snapshot;
+  ledger.Save(&snapshot);
+  JobLedger restored;
+  restored.Load(snapshot);
+  for (JobLedger* each : {&ledger, &restored}) {
+    each->Apply(second);
+    cr_assert(each->Find("job")->samples[0].output.text == "a\nb");
+    second.mutable_advances(0)->set_discard(true);
+    second.mutable_advances(0)->set_after_event(0);
+    each->Apply(second);
+    cr_assert(each->Find("job")->samples[0].output.text == "c");
+    cr_assert(each->Find("job")->samples[0].output.software_version == "v2");
+    second.mutable_advances(0)->set_discard(false);
+    second.mutable_advances(0)->set_after_event(2);
+  }
+}
+
+Test(job_ledger, a_carried_text_keeps_its_software_version) {
+  JobLedger ledger;
+  ledger.Apply(SubmitOf("job", 1));
+  wire::SamplesAdvance advances = AdvanceOf("job", 0, 0, {"a"}, {2});
+  advances.mutable_advances(0)->set_software_version("v1");
+  ledger.Apply(advances);
+  ledger.Apply(SubmitOf("later", 1));
+  const SampleText& output = ledger.Find("later")->samples[0].output;
+  cr_assert(output.text == "a" && output.software_version == "v1");
+}
+
 Test(job_ledger, text_of_a_version_below_the_minimum_is_discarded) {
   JobLedger ledger;
   ledger.Apply(SubmitOf("job", 1));
--- a/tests/version/sample_scheduler_test.cc
+++ b/tests/version/sample_scheduler_test.cc
@@ -27,9 +27,13 @@
     }
   }
 
-  void Announce(const std::string& id, uint32_t slots, uint64_t version) {
+  void Announce(const std::string& id,
+                uint32_t slots,
+                uint64_t version,
+                const std::string& software_version = "v1") {
     wire::TargetRecord record;
     record.set_id(id);
+    record.set_software_version(software_version);
     record.set_service("coach");
     record.set_address("127.0.0.1:1");
     record.set_slots(slots);
@@ -82,6 +86,20 @@
     jobs.Apply(advances);
   }
 
+  // Records that an engine of `software_version` made the first event.
+  void RecordEvent(const std::string& job,
+                   uint32_t index,
+                   const std::string& software_version) {
+    wire::SamplesAdvance advances;
+    wire::SampleAdvance& advance = *advances.add_advances();
+    advance.set_job(job);
+    advance.set_sample(index);
+    advance.add_events("x");
+    advance.add_versions(5);
+    advance.set_software_version(software_version);
+    jobs.Apply(advances);
+  }
+
   JobLedger jobs;
   SampleScheduler scheduler;
   TimePoint now{seconds(100)};
@@ -364,4 +382,75 @@
   cr_assert(started, "not started within 5 s");
 }
 
+// Engines of two software versions served side by side; a sample whose stream
+// had broken off went on at whichever had the least load.
+Test(sample_scheduler, a_sample_is_resumed_by_the_software_that_began_it) {
+  SchedulerFixture fixture(0);
+  fixture.Announce("old", 8, 5, "v1");
+  for (int i = 0; i < 4; ++i) {
+    fixture.Announce("new" + std::to_string(i), 8, 5, "v2");
+  }
+  fixture.Submit("job", std::vector<std::vector<uint32_t>>(5, {10}));
+  for (uint32_t index = 0; index < 5; ++index) {
+    fixture.RecordEvent("job", index, "v1");
+  }
+  const SamplePlan plan = fixture.scheduler.Plan(fixture.jobs, fixture.now);
+  cr_assert_eq(plan.starts.size(), 5);
+  for (const SampleStart& start : plan.starts) {
+    cr_assert(start.engine == "old");
+  }
+}
+
+Test(sample_scheduler, a_sample_whose_software_left_begins_anew_at_once) {
+  SchedulerFixture fixture(0);
+  fixture.Announce("new", 4, 5, "v2");
+  fixture.Submit("job", {{10}});
+  fixture.RecordEvent("job", 0, "v1");
+  const SamplePlan plan = fixture.scheduler.Plan(fixture.jobs, fixture.now);
+  cr_assert_eq(plan.starts.size(), 1);
+  cr_assert(plan.starts[0].software_version == "v2");
+}
+
+// The last engine of a version is full for long; others are free.
+Test(sample_scheduler, a_sample_waits_for_its_software_for_a_bounded_time) {
+  SchedulerFixture fixture(0);
+  fixture.Announce("old", 1, 5, "v1");
+  fixture.Announce("new", 4, 5, "v2");
+  fixture.Submit("job", {{10}, {10}});
+  fixture.RecordEvent("job", 0, "v1");
+  fixture.RecordEvent("job", 1, "v1");
+  const SamplePlan first = fixture.scheduler.Plan(fixture.jobs, fixture.now);
+  cr_assert_eq(first.starts.size(), 1);
+  cr_assert(first.starts[0].engine == "old");
+  fixture.now += milliseconds(900);
+  cr_assert(fixture.scheduler.Plan(fixture.jobs, fixture.now).starts.empty());
+  fixture.now += milliseconds(200);
+  const SamplePlan later = fixture.scheduler.Plan(fixture.jobs, fixture.now);
+  cr_assert_eq(later.starts.size(), 1);
+  cr_assert(later.starts[0].engine == "new");
+}
+
+// One engine of the old version becomes slow while those of the new one keep
+// their pace: moving the sample would discard its text.
+Test(sample_scheduler, a_slow_run_does_not_move_to_another_software) {
+  SchedulerFixture fixture(0);
+  fixture.Announce("old", 4, 5, "v1");
+  for (int i = 0; i < 3; ++i) {
+    fixture.Announce("new" + std::to_string(i), 4, 5, "v2");
+  }
+  fixture.Submit("job", {{100}, {100}, {100}, {100}});
+  const auto starts =
+      fixture.Starts(fixture.scheduler.Plan(fixture.jobs, fixture.now));
+  for (uint32_t tick = 1; tick <= 60; ++tick) {
+    fixture.now += milliseconds(20);
+    for (const auto& [index, engine] : starts) {
+      if (engine != "old" || tick % 4 == 0) {
+        fixture.scheduler.RecordEvents(
+            {"job", index}, engine == "old" ? tick / 4 : tick, fixture.now);
+      }
+    }
+    cr_assert(fixture.scheduler.Plan(fixture.jobs, fixture.now).stops.empty());
+  }
+}
+
 }  // namespace limpethatch
