Use known routes while the control group has no leader

Without a leader nothing can be acknowledged, so the last known routes are right.

An unconfirmed copy now counts as outdated only if most control instances follow a leader and still none confirms it.

--- a/src/limpethatch/request/configuration_freshness.cc
+++ b/src/limpethatch/request/configuration_freshness.cc
@@ -6,7 +6,7 @@
 
 void ConfigurationFreshness::OnReport(const ConfigurationReport& report,
                                       TimePoint now) {
-  reported_at_[report.instance] = now;
+  reports_[report.instance] = {now, report.knows_leader};
   if (report.version > announced_version_) {
     announced_version_ = report.version;
     announced_at_ = now;
@@ -25,7 +25,7 @@
 bool ConfigurationFreshness::IsOutdated(TimePoint now) const {
   const bool announced_in_vain =
       announced_version_ > version_ && now - announced_at_ >= options_.max_age;
-  return now - started_at_ >= options_.start_time && ReachesMajority(now) &&
+  return now - started_at_ >= options_.start_time && MajorityIsLed(now) &&
          (announced_in_vain || !IsCurrent(now));
 }
 
@@ -34,12 +34,14 @@
          now - announced_at_ < options_.transfer_time;
 }
 
-bool ConfigurationFreshness::ReachesMajority(TimePoint now) const {
-  const auto reachable = static_cast<size_t>(std::count_if(
-      reported_at_.begin(), reported_at_.end(), [&](const auto& entry) {
-        return now - entry.second < options_.reachable_time;
+bool ConfigurationFreshness::MajorityIsLed(TimePoint now) const {
+  const auto led = static_cast<size_t>(
+      std::count_if(reports_.begin(), reports_.end(), [&](const auto& entry) {
+        const Instance& instance = entry.second;
+        return instance.knows_leader &&
+               now - instance.reported_at < options_.reachable_time;
       }));
-  return 2 * reachable > instances_;
+  return 2 * led > instances_;
 }
 
 }  // namespace limpethatch
--- a/src/limpethatch/request/configuration_freshness.h
+++ b/src/limpethatch/request/configuration_freshness.h
@@ -33,6 +33,7 @@
   uint64_t version = 0;  // In force at that instance; 0: unknown.
   // How old its knowledge may be; nullopt without quorum contact.
   std::optional<Duration> age;
+  bool knows_leader = false;
 };
 
 class ConfigurationFreshness {
@@ -49,23 +50,31 @@
 
   // Whether the copy proves that a route is absent.
   bool IsCurrent(TimePoint now) const;
-  // Whether a newer version may have dropped or moved a route of the copy. Not
-  // while the gateway is cut off from most control instances: it can't learn of
-  // changes then, and its callers are better served by the last known ones.
+  // Whether a newer version may have dropped or moved a route of the copy: one
+  // was announced in vain, or most control instances follow a leader and none
+  // confirms the copy. Without a leader nothing can change, and a gateway that
+  // is cut off from most instances serves its callers best by the last known
+  // routes.
   bool IsOutdated(TimePoint now) const;
   // Whether a newer version is on its way, so that replies may be delayed.
   bool ExpectsTransfer(TimePoint now) const;
 
  private:
-  bool ReachesMajority(TimePoint now) const;
+  struct Instance {
+    TimePoint reported_at;
+    bool knows_leader = false;
+  };
+
+  // Whether most instances were heard of lately and follow a leader.
+  bool MajorityIsLed(TimePoint now) const;
 
   const ConfigurationFreshnessOptions options_;
   const TimePoint started_at_;
   uint64_t version_ = 0;
   uint64_t announced_version_ = 0;  // The newest that was reported.
   TimePoint announced_at_;
-  std::optional<TimePoint> confirmed_at_;  // When `version_` was the newest.
-  std::map<std::string, TimePoint> reported_at_;  // By instance.
+  std::optional<TimePoint> confirmed_at_;    // When `version_` was the newest.
+  std::map<std::string, Instance> reports_;  // The latest of each instance.
   size_t instances_ = 0;
 };
 
--- a/src/programs/gateway/fleet_subscriber.cc
+++ b/src/programs/gateway/fleet_subscriber.cc
@@ -214,6 +214,7 @@
   report.instance = news.from();
   report.version =
       std::max(news.configuration_version(), news.configuration().version());
+  report.knows_leader = !news.leader().empty();
   if (news.quorum_contact()) {
     report.age = StateAge(news);
   }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -117,6 +117,7 @@
     news.set_epoch(1);
     news.set_revision(7);
     news.set_state_age_ms(0);
+    news.set_leader("127.0.0.9:1");
     news.add_control_endpoints(endpoint_.ToString());
     if (has_peers) {
       news.add_control_endpoints(
--- a/tests/request/configuration_freshness_test.cc
+++ b/tests/request/configuration_freshness_test.cc
@@ -24,8 +24,9 @@
   }
   void Report(const std::string& instance,
               uint64_t version,
-              std::optional<Duration> age) {
-    freshness.OnReport({instance, version, age}, now);
+              std::optional<Duration> age,
+              bool knows_leader = true) {
+    freshness.OnReport({instance, version, age, knows_leader}, now);
   }
 
   TimePoint now = kStart + seconds(60);
@@ -69,6 +70,18 @@
   cr_assert_not(gateway.freshness.IsOutdated(gateway.now));
 }
 
+// Refused for as long as the control group was split in two halves, although no
+// change was possible in that time.
+Test(configuration_freshness, without_a_leader_known_routes_are_used) {
+  GatewayFixture gateway;
+  gateway.now += seconds(3);
+  for (const std::string instance : {"a", "b", "c"}) {
+    gateway.Report(instance, 9, std::nullopt, false);
+  }
+  cr_assert_not(gateway.freshness.IsOutdated(gateway.now));
+  cr_assert_not(gateway.freshness.IsCurrent(gateway.now));
+}
+
 Test(configuration_freshness, an_announced_version_confirms_no_older_one) {
   GatewayFixture gateway;
   gateway.Report("a", 13, milliseconds(0));
@@ -94,7 +107,7 @@
   started.OnInForce(9);
   started.SetInstances(3);
   for (const std::string instance : {"a", "b", "c"}) {
-    started.OnReport({instance, 9, std::nullopt}, gateway.now);
+    started.OnReport({instance, 9, std::nullopt, true}, gateway.now);
   }
   cr_assert_not(started.IsOutdated(gateway.now + seconds(1)));
   cr_assert_not(started.IsCurrent(gateway.now + seconds(1)));
