Continue a client's stream only on the software version that began it

A client that took a stream up (Last-Event-Id) was passed on to any target of the service, also to one of another software version: it got a 200 and text joined from two versions. After all gateways had been killed nobody knew which version had begun a stream.

A gateway remembers the version of the target that began each stream, decodes Resumes and offers a take-up to targets of that version only. Without that knowledge, and with more than one version known in the service, tombstones of targets that left included, it refuses with 503. If there was only one version the stream goes on.

--- a/src/limpethatch/request/target.h
+++ b/src/limpethatch/request/target.h
@@ -35,6 +35,7 @@
   uint64_t version = 0;
   bool checks_fencing = false;
   uint64_t incarnation = 0;
+  std::string software_version;
   bool leaving = false;
   TargetLoad load;
 };
--- a/src/programs/gateway/fleet_subscriber.cc
+++ b/src/programs/gateway/fleet_subscriber.cc
@@ -267,6 +267,7 @@
     }
     known = target;
     changed = true;
+    callbacks_.on_target(target);
   }
   if (changed) {
     RebuildTargetTable();
@@ -285,6 +286,7 @@
     target.zone = record.zone();
     target.slots = std::max<uint32_t>(record.slots(), 1);
     target.incarnation = record.born_ms();
+    target.software_version = record.software_version();
     target.leaving = record.draining();
     targets.push_back(std::move(target));
   }
--- a/src/programs/gateway/fleet_subscriber.h
+++ b/src/programs/gateway/fleet_subscriber.h
@@ -28,6 +28,8 @@
     // Called with the rate limits of targets that the current control instance
     // knows.
     std::function<void(const wire::TargetRates& rates)> on_target_rates;
+    // Called for each new or changed target, also for those that are gone.
+    std::function<void(const wire::TargetRecord& target)> on_target;
   };
 
   FleetSubscriber(TimerService& timers,
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -63,6 +63,10 @@
                          },
                          [this](const wire::TargetRates& rates) {
                            target_permits_.OnNews(rates);
+                         },
+                         [this](const wire::TargetRecord& target) {
+                           stream_origins_.OnTarget(target.service(),
+                                                    target.software_version());
                          }}),
       target_client_(
           io_,
@@ -90,7 +94,8 @@
                          router_,
                          random_,
                          metrics_,
-                         target_permits_},
+                         target_permits_,
+                         stream_origins_},
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       settings_watcher_(timers_, settings_path_, [this] { Reload(); }),
       event_loop_monitor_(timers_, kEventLoopCheckPeriod) {}
--- a/src/programs/gateway/gateway.h
+++ b/src/programs/gateway/gateway.h
@@ -77,6 +77,7 @@
   Messenger messenger_;
   ControlClient control_client_;
   TargetPermits target_permits_;
+  StreamOrigins stream_origins_;
   FleetSubscriber fleet_subscriber_;
   HttpClient target_client_;
   HttpServer caller_server_;
--- a/src/programs/gateway/live_call.cc
+++ b/src/programs/gateway/live_call.cc
@@ -84,6 +84,7 @@
 
   boost::asio::steady_timer wake_timer;
   bool finished = false;
+  bool is_stream = false;
   std::vector<Attempt> attempts;
   std::optional<LiveAttempts> attempt_policy;
   std::optional<TargetAnswer> answer;
@@ -107,6 +108,12 @@
                            std::chrono::milliseconds(route.timeout_ms()));
     deadline_ = started_at_ + timeout - kResponseMargin;
     service_ = RouteTable::ServiceFor(route, context.random());
+    must_resume_ =
+        route.kind() == wire::ROUTE_STREAM && caller_headers_.resumes_stream;
+    if (must_resume_) {
+      software_version_ = context.stream_origins.Find(
+          service_, caller_headers_.first_attempt_id);
+    }
     LiveAttemptsOptions options;
     options.idempotent = route.kind() == wire::ROUTE_IDEMPOTENT;
     options.max_attempts = std::max<uint32_t>(route.max_attempts(), 1);
@@ -116,6 +123,7 @@
           std::chrono::milliseconds(route.target_latency_ms()) / kHedgeDivisor;
     }
     state_->attempt_policy.emplace(options);
+    state_->is_stream = route.kind() == wire::ROUTE_STREAM;
   }
 
   void Serve() {
@@ -196,6 +204,14 @@
     for (const Attempt& attempt : state_->attempts) {
       tried.push_back(attempt.target);
     }
+    if (must_resume_) {
+      // Only the software version that began a stream can continue it.
+      for (const auto& [id, target] : context_.targets.targets()) {
+        if (target->target.software_version != software_version_) {
+          tried.push_back(id);
+        }
+      }
+    }
     RouteRequest request;
     request.service = service_;
     request.request_class = RequestClass::kLookup;
@@ -305,6 +321,10 @@
       *reason = "answer_of_another_request";
       return AttemptResult::kUnknown;
     }
+    if (state.is_stream) {
+      context.stream_origins.OnBegun(attempt_id,
+                                     target.target.software_version);
+    }
     TargetAnswer target_answer;
     target_answer.target = target.target.id;
     target_answer.response.status = stream.status();
@@ -370,9 +390,11 @@
     const std::optional<TargetAnswer> target_failure = state_->target_failure;
     const bool deadline_passed = now >= deadline_;
     CancelAttempts();
-    const std::string reason = target_failure             ? "target_error"
-                               : deadline_passed          ? "deadline"
-                               : permit_wait_ && not_run  ? "rate_limit"
+    const std::string reason = target_failure            ? "target_error"
+                               : deadline_passed         ? "deadline"
+                               : permit_wait_ && not_run ? "rate_limit"
+                               : must_resume_ && !software_version_
+                                   ? "unknown_software_version"
                                : state_->attempts.empty() ? "no_target"
                                : not_run                  ? "targets_full"
                                                           : "targets_failed";
@@ -412,6 +434,10 @@
   const TimePoint started_at_;
   TimePoint deadline_;
   std::string service_;
+  // The caller has the beginning of a stream that `software_version_` began;
+  // nullopt if that is unknown, and then no target is used.
+  bool must_resume_ = false;
+  std::optional<std::string> software_version_;
   std::optional<PermittedTarget> permitted_;
   // Targets with a rate limit for which a permit was requested.
   std::vector<std::string> rate_limited_;
--- a/tests/gateway/fleet_subscriber_test.cc
+++ b/tests/gateway/fleet_subscriber_test.cc
@@ -63,7 +63,7 @@
   FleetSubscriber subscriber{timers,
                              messenger,
                              settings,
-                             {[](auto&) {}, [](auto&) {}}};
+                             {[](auto&) {}, [](auto&) {}, [](auto&) {}}};
 };
 
 }  // namespace
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -77,7 +77,9 @@
         }) {}
 
   void Start() { cr_assert(!messenger_.Listen(endpoint_)); }
-  void AddTarget(const std::string& id, const Endpoint& address) {
+  void AddTarget(const std::string& id,
+                 const Endpoint& address,
+                 const std::string& software_version = "v1") {
     wire::TargetRecord& target = *news_.add_targets();
     target.set_id(id);
     target.set_service("desk");
@@ -85,6 +87,7 @@
     target.set_zone("z");
     target.set_slots(6);
     target.set_born_ms(1);
+    target.set_software_version(software_version);
   }
   std::atomic<bool> has_quorum_contact{true};
   // Whether it names two more control instances, which do not exist.
@@ -138,6 +141,12 @@
     wire::WeightedService& weighted_service = *route.add_services();
     weighted_service.set_service("desk");
     weighted_service.set_weight(1);
+    wire::Route& stream = *configuration.add_routes();
+    stream = route;
+    stream.set_name("stream");
+    stream.set_path_prefix("/s/");
+    stream.set_kind(wire::ROUTE_STREAM);
+    stream.set_resumable(true);
     configuration.mutable_limits()->set_max_header_bytes(2048);
     configuration.mutable_limits()->set_max_body_bytes(100);
     Endpoint to;
@@ -460,6 +469,40 @@
   cr_assert_leq(limited.calls, 1);
 }
 
+// After all gateways had been killed, streams of clients were continued by
+// targets of another software version, and nothing in the answer showed it.
+Test(gateway, a_stream_is_only_continued_by_the_software_that_began_it) {
+  const auto answer = [](const HttpRequest& request) {
+    return SignedAnswer(request, kAttemptId);
+  };
+  FakeTarget old_target(answer);
+  FakeTarget new_target(answer);
+  GatewayFixture fixture;
+  fixture.control->AddTarget("i-old", old_target.endpoint(), "v1");
+  fixture.control->AddTarget("i-new", new_target.endpoint(), "v2");
+  fixture.control->Start();
+  fixture.Start();
+  cr_assert(fixture.WaitUntilReady(true));
+
+  const std::string unknown = fixture.Call(
+      Post("/s/x", "Last-Event-Id: 3\r\nResumes: 0123456789abcdef\r\n"));
+  cr_assert(StatusOf(unknown) == "503", "%s", unknown.c_str());
+  cr_assert(unknown.find("unknown_software_version") != std::string::npos);
+  cr_assert_eq(old_target.calls + new_target.calls, 0);
+
+  cr_assert(StatusOf(fixture.Call(Post("/s/x"))) == "200");
+  const int new_calls = new_target.calls;
+  const int old_calls = old_target.calls;
+  cr_assert_eq(new_calls + old_calls, 1);
+  for (int i = 1; i <= 10; ++i) {
+    cr_assert(StatusOf(fixture.Call(
+                  Post("/s/x", std::string("Last-Event-Id: 3\r\nResumes: ") +
+                                   kAttemptId + "\r\n"))) == "200");
+  }
+  cr_assert_eq(new_target.calls, 11 * new_calls);
+  cr_assert_eq(old_target.calls, 11 * old_calls);
+}
+
 // An answer without an end filled the memory of the gateway until the deadline.
 Test(gateway, an_endless_answer_is_cut_off_and_the_gateway_keeps_serving) {
   constexpr size_t kCutOffAndSocketBuffers = 24UL * 1024 * 1024;
