Give each process its own range of request ids

A process could take the reply to a request of its predecessor for the outcome of its own: clients of the control group counted their requests from 1 at every start, and a leader answers a command when it is applied, which may be after the sender was killed and started again at the same endpoint. A configuration would then be acknowledged without having been recorded.

--- a/src/limpethatch/connection/control_client.cc
+++ b/src/limpethatch/connection/control_client.cc
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <random>
 #include <utility>
 
 #include "envelope.pb.h"
@@ -44,6 +45,13 @@
 
 using CallAnswer = ControlClient::Answer;
 
+// A number with room for the requests of one process above it.
+uint64_t RandomIdBase() {
+  constexpr int kRequestBits = 31;
+  std::random_device device;
+  return uint64_t{device()} << kRequestBits;
+}
+
 }  // namespace
 
 class ControlClient::Calls {
@@ -99,7 +107,9 @@
   std::vector<Endpoint> endpoints_;       // Only grows.
   std::vector<Replica> replicas_;         // One for each endpoint.
   std::map<uint64_t, Attempt> attempts_;  // By request id.
-  uint64_t last_id_ = 0;
+  // Starts at a random number, so that a late reply to an earlier process at
+  // the same endpoint matches no request of this one.
+  uint64_t last_id_ = RandomIdBase();
   size_t likely_leader_;
   std::optional<ControlNews> news_;
 };
--- a/tests/connection/control_client_test.cc
+++ b/tests/connection/control_client_test.cc
@@ -91,6 +91,21 @@
 
 }  // namespace
 
+// A leader answered a request of a process that had been killed; the process
+// that had started in its place took that for the outcome of its own change.
+Test(control_client, a_reply_to_an_earlier_process_is_not_taken_for_its_own) {
+  const Endpoint address = FreeEndpoint();
+  uint64_t late_id = 0;
+  const FakeReplica replica(address, [&](const wire::ControlRequest&,
+                                         wire::ControlReply* reply) {
+    reply->set_id(++late_id);  // As a process that just started would count.
+    reply->set_outcome(wire::ControlReply::OK);
+    return true;
+  });
+  ClientFixture fixture({address});
+  cr_assert(fixture.Call(400ms).certainty == ControlCertainty::kUncertain);
+}
+
 Test(control_client,
      a_call_skips_silent_replicas_and_followers_and_reaches_the_leader) {
   const Endpoint silent = FreeEndpoint(), follower = FreeEndpoint(),
