Take news without a version as a confirmation of the copy

A gateway that was updated before its control instances, as RELEASES asks, would have refused all requests after 3 s: control instances of earlier releases do not state which version is in force, and send the configuration only if it is newer. Their news confirm the gateway's version now. Found by reading the diff; the test news_of_an_earlier_release_confirm_the_configuration covers it.

--- a/src/programs/gateway/fleet_subscriber.cc
+++ b/src/programs/gateway/fleet_subscriber.cc
@@ -212,8 +212,13 @@
                                       TimePoint now) {
   ConfigurationReport report;
   report.instance = news.from();
-  report.version =
-      std::max(news.configuration_version(), news.configuration().version());
+  report.version = news.configuration_version();
+  if (report.version == 0) {
+    // An earlier release, which sends the configuration whenever it is newer.
+    report.version = news.has_configuration() ? news.configuration().version()
+                     : routes_                ? routes_->version()
+                                              : 0;
+  }
   report.knows_leader = !news.leader().empty();
   if (news.quorum_contact()) {
     report.age = StateAge(news);
--- a/tests/gateway/fleet_subscriber_test.cc
+++ b/tests/gateway/fleet_subscriber_test.cc
@@ -99,6 +99,19 @@
   cr_assert_eq(fixture.version(), 50);
 }
 
+// Control instances of earlier releases do not state which version is in force.
+Test(fleet_subscriber, news_of_an_earlier_release_confirm_the_configuration) {
+  SubscriberFixture fixture;
+  fixture.Receive("127.0.0.2", true, 49);
+  wire::FleetNews news;
+  news.set_from("127.0.0.2:7000");
+  news.set_quorum_contact(true);
+  news.set_state_age_ms(0);
+  fixture.subscriber.OnFleetNews(news);
+  cr_assert(
+      fixture.subscriber.configuration_freshness().IsCurrent(Clock::now()));
+}
+
 // Instances that were replaced cost a timeout each while a change was due.
 Test(fleet_subscriber, a_reachable_instance_is_asked_before_the_others) {
   SubscriberFixture fixture;
