Send the configuration at once to a gateway that restarted

A gateway that was killed while a configuration was on its way, and came back, would have waited up to 1.2 s for the copy that its predecessor had been sent. A lower version than it had confirmed shows the restart.

--- a/src/limpethatch/process/transfer_queue.cc
+++ b/src/limpethatch/process/transfer_queue.cc
@@ -3,7 +3,11 @@
 namespace limpethatch {
 
 void TransferQueue::OnConfirmed(const std::string& receiver, uint64_t version) {
-  receivers_[receiver].confirmed_version = version;
+  Receiver& known = receivers_[receiver];
+  if (version < known.confirmed_version) {
+    known.sent_version = 0;  // It has restarted.
+  }
+  known.confirmed_version = version;
 }
 
 void TransferQueue::OnConnectionLost(const std::string& receiver) {
--- a/tests/process/transfer_queue_test.cc
+++ b/tests/process/transfer_queue_test.cc
@@ -56,6 +56,14 @@
   cr_assert(queue.Next(3, 8, kStart + 5 * kTimeout).empty());
 }
 
+Test(transfer_queue, a_receiver_that_restarted_does_not_wait) {
+  TransferQueue queue = QueueWith(1);
+  queue.OnConfirmed("receiver-0", 2);
+  cr_assert_eq(queue.Next(3, 8, kStart).size(), 1);
+  queue.OnConfirmed("receiver-0", 0);
+  cr_assert_eq(queue.Next(3, 8, kStart).size(), 1);
+}
+
 Test(transfer_queue, a_newer_version_does_not_wait_for_the_older) {
   TransferQueue queue = QueueWith(1);
   cr_assert_eq(queue.Next(3, 8, kStart).size(), 1);
