--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -92,6 +92,8 @@
   std::atomic<bool> has_quorum_contact{true};
   // Whether it names two more control instances, which do not exist.
   std::atomic<bool> has_peers{false};
+  // Whether it follows a leader.
+  std::atomic<bool> has_leader{true};
   std::atomic<bool> grants_permits{true};
   std::atomic<int> permits_requested{0};
 
@@ -120,7 +122,9 @@
     news.set_epoch(1);
     news.set_revision(7);
     news.set_state_age_ms(0);
-    news.set_leader("127.0.0.9:1");
+    if (has_leader) {
+      news.set_leader("127.0.0.9:1");
+    }
     news.add_control_endpoints(endpoint_.ToString());
     if (has_peers) {
       news.add_control_endpoints(
@@ -369,6 +373,24 @@
   cr_assert(fixture.WaitUntilReady(true));
 }
 
+Test(gateway, without_quorum_contact_it_is_not_ready_but_keeps_serving) {
+  FakeTarget target([](const HttpRequest& request) {
+    return SignedAnswer(request, kAttemptId);
+  });
+  GatewayFixture fixture;
+  fixture.control->has_leader = false;
+  fixture.control->AddTarget("i-1", target.endpoint());
+  fixture.control->Start();
+  fixture.Start();
+  cr_assert(fixture.WaitUntilReady(true));
+  fixture.control->has_quorum_contact = false;
+  cr_assert(fixture.WaitUntilReady(false));
+  cr_assert(StatusOf(fixture.Call(Post("/l/x"))) == "200",
+            "requests are still served without quorum contact");
+  fixture.control->has_quorum_contact = true;
+  cr_assert(fixture.WaitUntilReady(true));
+}
+
 // A gateway ran requests by routes that a newer configuration had moved, while
 // the control instances told it that they could not confirm its own.
 Test(gateway, a_route_that_no_control_instance_can_confirm_is_not_used) {
