Let control instances remember which software began a stream

A gateway tells the leader of each stream that begins, and asks it about one that it does not know. The leader passes on with its digests what it was told, so that the next leader knows it too. That needs no log entry for each stream: what is lost with all control instances is refused, not joined.

streams_go_on_at_their_software_after_all_gateways_were_killed kills two gateways twice and takes 24 streams up, with both versions in service and with the old one gone.

--- a/src/limpethatch/request/stream_origins.cc
+++ b/src/limpethatch/request/stream_origins.cc
@@ -2,11 +2,6 @@
 
 namespace limpethatch {
 
-void StreamOrigins::OnTarget(const std::string& service,
-                             const std::string& version) {
-  versions_[service].insert(version);
-}
-
 void StreamOrigins::OnBegun(const std::string& attempt,
                             const std::string& version) {
   if (!begun_.insert_or_assign(attempt, version).second) {
@@ -19,16 +14,9 @@
   }
 }
 
-std::optional<std::string> StreamOrigins::Find(std::string_view service,
-                                               std::string_view attempt) const {
-  if (const auto found = begun_.find(attempt); found != begun_.end()) {
-    return found->second;
-  }
-  const auto versions = versions_.find(service);
-  if (versions != versions_.end() && versions->second.size() == 1) {
-    return *versions->second.begin();
-  }
-  return std::nullopt;
+const std::string* StreamOrigins::Find(std::string_view attempt) const {
+  const auto found = begun_.find(attempt);
+  return found == begun_.end() ? nullptr : &found->second;
 }
 
 }  // namespace limpethatch
--- a/src/programs/control/fleet_members.cc
+++ b/src/programs/control/fleet_members.cc
@@ -48,6 +48,10 @@
       *digest.add_targets() = TargetRegistry::WithAge(found->second, now);
     }
   }
+  for (wire::StreamOrigin& origin :
+       std::exchange(pending_digest_origins_, {})) {
+    *digest.add_stream_origins() = std::move(origin);
+  }
   Broadcast(digest);
 }
 
@@ -75,6 +79,9 @@
 
 void FleetService::Receive(const wire::ControlDigest& digest) {
   const TimePoint now = Clock::now();
+  for (const wire::StreamOrigin& origin : digest.stream_origins()) {
+    stream_origins_.OnBegun(origin.attempt(), origin.software_version());
+  }
   const auto known = peers_.find(digest.sender().id());
   const bool was_silent = known == peers_.end() ||
                           now - known->second.last_contact_at > kAliveTimeout;
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -21,6 +21,7 @@
 #include "limpethatch/process/member_planner.h"
 #include "limpethatch/process/target_registry.h"
 #include "limpethatch/process/transfer_queue.h"
+#include "limpethatch/request/stream_origins.h"
 #include "limpethatch/version/sample_scheduler.h"
 #include "limpethatch/version/weight_rollout.h"
 #include "programs/control/control_settings.h"
@@ -158,6 +159,12 @@
   wire::TargetRates EncodeRateLimits() const;
   void DropRateLimitsOfGoneTargets();
 
+  // Streams of clients.
+  // Records what a gateway told, and tells the other control instances, one of
+  // which may lead next.
+  void RecordStreamOrigin(const wire::ControlRequest& request);
+  void AnswerStreamOriginQuery(const wire::ControlRequest& request);
+
   // Reads.
   void SendReply(const wire::ControlRequest& request, wire::ControlReply reply);
   void ReplyNotLeader(const wire::ControlRequest& request);
@@ -217,6 +224,10 @@
   TimePoint distribution_started_at_;
   bool had_quorum_contact_ = false;  // As of the last log line.
 
+  StreamOrigins stream_origins_;
+  // To be included in the next digest.
+  std::vector<wire::StreamOrigin> pending_digest_origins_;
+
   std::vector<PendingJobQuery> pending_job_queries_;
   std::vector<PendingConfigurationRead> pending_configuration_reads_;
 
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -55,6 +55,7 @@
                  [this](std::string_view message) { OnMessage(message); }),
       control_client_(io_, messenger_, MakeControlClientOptions(settings)),
       target_permits_(io_, control_client_),
+      stream_directory_(io_, control_client_),
       fleet_subscriber_(timers_,
                         messenger_,
                         settings_,
@@ -65,8 +66,7 @@
                            target_permits_.OnNews(rates);
                          },
                          [this](const wire::TargetRecord& target) {
-                           stream_origins_.OnTarget(target.service(),
-                                                    target.software_version());
+                           stream_directory_.OnTarget(target);
                          }}),
       target_client_(
           io_,
@@ -95,7 +95,7 @@
                          random_,
                          metrics_,
                          target_permits_,
-                         stream_origins_},
+                         stream_directory_},
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       settings_watcher_(timers_, settings_path_, [this] { Reload(); }),
       event_loop_monitor_(timers_, kEventLoopCheckPeriod) {}
--- a/src/programs/gateway/gateway.h
+++ b/src/programs/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "programs/gateway/gateway_metrics.h"
 #include "programs/gateway/gateway_settings.h"
 #include "programs/gateway/live_call.h"
+#include "programs/gateway/stream_directory.h"
 #include "programs/gateway/target_permits.h"
 
 namespace limpethatch {
@@ -77,7 +78,7 @@
   Messenger messenger_;
   ControlClient control_client_;
   TargetPermits target_permits_;
-  StreamOrigins stream_origins_;
+  StreamDirectory stream_directory_;
   FleetSubscriber fleet_subscriber_;
   HttpClient target_client_;
   HttpServer caller_server_;
--- a/src/programs/gateway/live_call.cc
+++ b/src/programs/gateway/live_call.cc
@@ -110,10 +110,6 @@
     service_ = RouteTable::ServiceFor(route, context.random());
     must_resume_ =
         route.kind() == wire::ROUTE_STREAM && caller_headers_.resumes_stream;
-    if (must_resume_) {
-      software_version_ = context.stream_origins.Find(
-          service_, caller_headers_.first_attempt_id);
-    }
     LiveAttemptsOptions options;
     options.idempotent = route.kind() == wire::ROUTE_IDEMPOTENT;
     options.max_attempts = std::max<uint32_t>(route.max_attempts(), 1);
@@ -127,6 +123,10 @@
   }
 
   void Serve() {
+    if (must_resume_) {
+      software_version_ = context_.streams.Find(
+          exchange_.yield(), service_, caller_headers_.first_attempt_id);
+    }
     while (true) {
       if (state_->answer) {
         RespondWith(*state_->answer);
@@ -322,8 +322,7 @@
       return AttemptResult::kUnknown;
     }
     if (state.is_stream) {
-      context.stream_origins.OnBegun(attempt_id,
-                                     target.target.software_version);
+      context.streams.OnBegun(attempt_id, target.target.software_version);
     }
     TargetAnswer target_answer;
     target_answer.target = target.target.id;
--- a/src/programs/gateway/live_call.h
+++ b/src/programs/gateway/live_call.h
@@ -12,8 +12,8 @@
 #include "limpethatch/connection/http_client.h"
 #include "limpethatch/connection/http_server.h"
 #include "limpethatch/request/router.h"
-#include "limpethatch/request/stream_origins.h"
 #include "programs/gateway/gateway_metrics.h"
+#include "programs/gateway/stream_directory.h"
 #include "programs/gateway/target_permits.h"
 
 namespace limpethatch {
@@ -27,7 +27,7 @@
   std::mt19937_64& random;
   GatewayMetrics& metrics;
   TargetPermits& permits;
-  StreamOrigins& stream_origins;
+  StreamDirectory& streams;
   // Of the bodies of answers that are being read.
   size_t buffered_answer_bytes = 0;
 };
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <csignal>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -89,6 +90,14 @@
     target.set_born_ms(1);
     target.set_software_version(software_version);
   }
+  // Call it only while no gateway runs.
+  void MarkGone(const std::string& id) {
+    for (wire::TargetRecord& target : *news_.mutable_targets()) {
+      if (target.id() == id) {
+        target.set_gone(true);
+      }
+    }
+  }
   std::atomic<bool> has_quorum_contact{true};
   // Whether it names two more control instances, which do not exist.
   std::atomic<bool> has_peers{false};
@@ -96,6 +105,7 @@
   std::atomic<bool> has_leader{true};
   std::atomic<bool> grants_permits{true};
   std::atomic<int> permits_requested{0};
+  std::atomic<size_t> streams_recorded{0};
 
  private:
   void Answer(const wire::ControlRequest& request) {
@@ -108,6 +118,19 @@
       reply.mutable_target_permit()->set_granted(grants_permits);
       reply.mutable_target_permit()->set_wait_ms(grants_permits ? 0 : 2500);
     }
+    if (request.has_stream_begun()) {
+      stream_origins_[request.stream_begun().attempt()] =
+          request.stream_begun().software_version();
+      streams_recorded = stream_origins_.size();
+    }
+    if (request.has_stream_origin()) {
+      const auto found =
+          stream_origins_.find(request.stream_origin().attempt());
+      reply.mutable_stream_origin()->set_known(found != stream_origins_.end());
+      if (found != stream_origins_.end()) {
+        reply.mutable_stream_origin()->set_software_version(found->second);
+      }
+    }
     Endpoint to;
     ParseEndpoint(request.reply_to(), &to);
     messenger_.Send(to, envelope.SerializeAsString());
@@ -160,6 +183,7 @@
 
   const Endpoint endpoint_;
   wire::FleetNews news_;
+  std::map<std::string, std::string> stream_origins_;  // Messenger's thread.
   Messenger messenger_;
 };
 
@@ -491,8 +515,149 @@
   cr_assert_leq(limited.calls, 1);
 }
 
-// After all gateways had been killed, streams of clients were continued by
-// targets of another software version, and nothing in the answer showed it.
+namespace {
+
+// Two gateways of one control instance, which are stopped and started together.
+class GatewayPair {
+ public:
+  GatewayPair(FakeControl& control, const GatewaySettings& common)
+      : control_(control) {
+    for (int i = 0; i < 2; ++i) {
+      GatewaySettings& settings = settings_.emplace_back(common);
+      settings.process.id = "gateway-" + std::to_string(i);
+      settings.peers.host = "127.0.0." + std::to_string(11 + i);
+      settings.callers = FreeEndpoint();
+      settings.readiness = FreeEndpoint();
+      settings.metrics = FreeEndpoint();
+    }
+  }
+  ~GatewayPair() { Stop(); }
+
+  // Starts both, without any memory of earlier ones, and waits until they are
+  // ready.
+  void Start() {
+    for (const GatewaySettings& settings : settings_) {
+      Gateway& gateway =
+          *gateways_.emplace_back(std::make_unique<Gateway>(settings, "none"));
+      cr_assert(!gateway.Start());
+      threads_.emplace_back([&gateway] { gateway.Run(); });
+    }
+    for (const GatewaySettings& settings : settings_) {
+      std::string answer;
+      for (int i = 0; i < 500 && StatusOf(answer) != "200"; ++i) {
+        std::this_thread::sleep_for(milliseconds(20));
+        answer = Exchange(settings.readiness,
+                          "GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n");
+      }
+      cr_assert(StatusOf(answer) == "200");
+    }
+  }
+  void Stop() {
+    if (gateways_.empty()) {
+      return;
+    }
+    raise(SIGTERM);
+    for (std::thread& thread : threads_) {
+      thread.join();
+    }
+    threads_.clear();
+    gateways_.clear();
+  }
+  void WaitUntilRecorded(size_t streams) const {
+    for (int i = 0; i < 500 && control_.streams_recorded < streams; ++i) {
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    cr_assert_eq(control_.streams_recorded, streams);
+  }
+  // Asks one of them for a stream, or for the rest of the one that the attempt
+  // `resumes` began.
+  std::string Call(int gateway,
+                   const std::string& attempt,
+                   const std::string& resumes = "") const {
+    const std::string resumption =
+        resumes.empty() ? ""
+                        : "Last-Event-Id: 3\r\nResumes: " + resumes + "\r\n";
+    return Exchange(settings_[static_cast<size_t>(gateway)].callers,
+                    "POST /s/x HTTP/1.1\r\nHost: shop.example\r\n"
+                    "Request-Attempt-Id: " +
+                        attempt + "\r\nDeadline-Ms: 2000\r\n" + resumption +
+                        "Content-Length: 4\r\n\r\nbody");
+  }
+
+ private:
+  FakeControl& control_;
+  std::vector<GatewaySettings> settings_;
+  std::vector<std::unique_ptr<Gateway>> gateways_;
+  std::vector<std::thread> threads_;
+};
+
+// The software version that the body of an answer names.
+std::string VersionOf(const std::string& answer) {
+  return answer.find("by v1") != std::string::npos   ? "v1"
+         : answer.find("by v2") != std::string::npos ? "v2"
+                                                     : "";
+}
+
+FakeTarget::Handler AnswerAs(const std::string& version) {
+  return [version](const HttpRequest& request) {
+    HttpResponse response = SignedAnswer(
+        request, std::string(request.headers.Get("Request-Attempt-Id")));
+    response.body = "by " + version;
+    return response;
+  };
+}
+
+}  // namespace
+
+// All gateways were killed while streams ran, and clients took them up: streams
+// were joined from two software versions, or refused although theirs still
+// served.
+Test(gateway, streams_go_on_at_their_software_after_all_gateways_were_killed) {
+  constexpr int kStreams = 24;
+  FakeTarget old_target(AnswerAs("v1"));
+  FakeTarget new_target(AnswerAs("v2"));
+  GatewayFixture fixture;
+  fixture.control->AddTarget("i-old", old_target.endpoint(), "v1");
+  fixture.control->AddTarget("i-new", new_target.endpoint(), "v2");
+  fixture.control->Start();
+  GatewayPair gateways(*fixture.control, fixture.settings);
+  gateways.Start();
+  std::map<std::string, std::string> begun_by;
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string attempt = "begun-" + std::to_string(i);
+    begun_by[attempt] = VersionOf(gateways.Call(i % 2, attempt));
+    cr_assert_not(begun_by[attempt].empty());
+  }
+  cr_assert(old_target.calls > 0 && new_target.calls > 0);
+  gateways.WaitUntilRecorded(kStreams);
+
+  gateways.Stop();
+  gateways.Start();
+  int gateway = 1;
+  for (const auto& [attempt, version] : begun_by) {
+    gateway = 1 - gateway;
+    const std::string answer =
+        gateways.Call(gateway, "second-" + attempt, attempt);
+    cr_assert(StatusOf(answer) == "200", "%s", answer.c_str());
+    cr_assert(VersionOf(answer) == version, "%s", answer.c_str());
+  }
+
+  gateways.Stop();
+  fixture.control->MarkGone("i-old");
+  gateways.Start();
+  for (const auto& [attempt, version] : begun_by) {
+    gateway = 1 - gateway;
+    const std::string answer =
+        gateways.Call(gateway, "third-" + attempt, attempt);
+    const bool is_served = version == "v2";
+    cr_assert(StatusOf(answer) == (is_served ? "200" : "503"), "%s",
+              answer.c_str());
+    cr_assert(VersionOf(answer) == (is_served ? "v2" : ""));
+  }
+}
+
+// A take-up of a stream whose beginning nobody knows was passed on to any
+// target.
 Test(gateway, a_stream_is_only_continued_by_the_software_that_began_it) {
   const auto answer = [](const HttpRequest& request) {
     return SignedAnswer(request, kAttemptId);
