Name the content of a live request in the log lines of its failures

Two attempts of a caller at the same request have different attempt ids, so the lines attempt_failed and given_up could not show that one request fails again and again, nor whether that was within one attempt or over several. Both now carry a digest of host, method, path, query and body.

--- a/src/programs/gateway/live_call.cc
+++ b/src/programs/gateway/live_call.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "limpethatch/connection/request_content.h"
 #include "limpethatch/process/log.h"
 #include "limpethatch/request/live_attempts.h"
 #include "limpethatch/request/route_table.h"
@@ -83,6 +84,7 @@
       : wake_timer(executor) {}
 
   boost::asio::steady_timer wake_timer;
+  std::string content;  // Digest of the request's content.
   bool finished = false;
   bool is_stream = false;
   std::vector<Attempt> attempts;
@@ -119,6 +121,7 @@
           std::chrono::milliseconds(route.target_latency_ms()) / kHedgeDivisor;
     }
     state_->attempt_policy.emplace(options);
+    state_->content = ContentDigestOf(exchange.request());
     state_->is_stream = route.kind() == wire::ROUTE_STREAM;
   }
 
@@ -280,6 +283,7 @@
       state.attempt_policy->Ended(*result);
       Log(LogLevel::kInfo, "attempt_failed",
           {{"request", attempt_id},
+           {"content", state.content},
            {"target", target.target.id},
            {"incarnation", target.target.incarnation},
            {"ran",
@@ -400,6 +404,7 @@
     context_.metrics.CountRefusal(reason);
     Log(LogLevel::kWarning, "given_up",
         {{"request", caller_headers_.attempt_id},
+         {"content", state_->content},
          {"route", route_.name()},
          {"service", service_},
          {"reason", reason},
