Refuse a request after three targets crashed while running it

A request under which three targets had ended was sent to targets again and again, without an end. Each attempt of a client may end max_attempts targets, and nothing outlived the attempt: the gateway kept nothing of a request's content, and the scheduler's count of broken runs had no end and was lost with the leader.

Cause: evidence was kept by the attempt and by the process, while the request comes again under another attempt id, at another gateway and under another leader.

A run without a complete answer is now followed by a check whether its target has ended: it refuses connections while others accept them, or a newer process took its place. Gateways (live requests, hedges included) and the leader (samples) use the same CrashDetector. The runs go into the replicated log under the digest of the request's content or the id of the sample. From three crashes on, that no request with more of them explains, a live request is refused by all gateways with 503 and no Retry-After. A request that finished, a target that is heard from again, and ten minutes without a crash clear the evidence. A suspect sample runs where nothing else does, so that the next crash tells it from those beside it, and ends after five crashes of which one was alone; samples are still given up only as before.

--- a/src/limpethatch/version/fleet_ledger.cc
+++ b/src/limpethatch/version/fleet_ledger.cc
@@ -29,6 +29,9 @@
     case wire::Command::kInstanceRetire:
       retired_.insert(command.instance_retire().id());
       return true;
+    case wire::Command::kCrashEvidence:
+      crashes_.Apply(command.crash_evidence());
+      return true;
     default:
       return false;
   }
@@ -65,6 +68,9 @@
   for (const std::string& id : retired_) {
     snapshot.add_retired(id);
   }
+  for (const wire::CrashedRun& run : crashes_.runs()) {
+    *snapshot.add_crashed_runs() = run;
+  }
   std::vector<ByteRope::Piece> parts;
   parts.push_back(
       std::make_shared<const std::string>(snapshot.SerializeAsString()));
@@ -88,6 +94,9 @@
       weights_[named.model()] = named.version();
     }
     retired_.insert(snapshot.retired().begin(), snapshot.retired().end());
+    wire::CrashEvidence crashes;
+    crashes.mutable_crashed_runs()->Swap(snapshot.mutable_crashed_runs());
+    crashes_.Apply(crashes);
     jobs_.Add(std::move(snapshot), part);
   }
   return true;
--- a/src/limpethatch/version/fleet_ledger.h
+++ b/src/limpethatch/version/fleet_ledger.h
@@ -1,5 +1,6 @@
 // Replicated state of a fleet: the configuration in force, the newest weight
-// version of each model, batch jobs, and retired instances.
+// version of each model, batch jobs, retired instances, and the requests that
+// were running when targets crashed.
 #ifndef LIMPETHATCH_VERSION_FLEET_LEDGER_H_
 #define LIMPETHATCH_VERSION_FLEET_LEDGER_H_
 
@@ -10,6 +11,7 @@
 #include <vector>
 
 #include "ledger.pb.h"
+#include "limpethatch/version/crash_ledger.h"
 #include "limpethatch/version/job_ledger.h"
 
 namespace limpethatch {
@@ -28,6 +30,7 @@
   const std::map<std::string, uint64_t>& weights() const { return weights_; }
   const JobLedger& jobs() const { return jobs_; }
   const std::set<std::string>& retired() const { return retired_; }
+  const CrashLedger& crashes() const { return crashes_; }
 
   // The whole state as serialised wire::FleetSnapshot messages, to be merged
   // in this order.
@@ -43,6 +46,7 @@
   std::map<std::string, uint64_t> weights_;
   JobLedger jobs_;
   std::set<std::string> retired_;
+  CrashLedger crashes_;
 };
 
 }  // namespace limpethatch
--- a/src/limpethatch/version/sample_scheduler.cc
+++ b/src/limpethatch/version/sample_scheduler.cc
@@ -15,6 +15,9 @@
 // Broken runs without an event from which on a sample is suspected to crash
 // engines.
 constexpr uint32_t kSuspectBreaks = 2;
+// Crashes after which a sample is not run any more, if one of them happened
+// while nothing else was running there.
+constexpr size_t kMaxSampleCrashes = CrashLedger::kMaxCrashes + 2;
 
 uint32_t RemainingEvents(uint32_t expected, uint32_t received) {
   const uint32_t remaining = expected > received ? expected - received : 0;
@@ -33,7 +36,9 @@
   return static_cast<uint32_t>(sample.expected_tokens() / found->second) + 1;
 }
 
-SamplePlan SampleScheduler::Plan(const JobLedger& jobs, TimePoint now) {
+SamplePlan SampleScheduler::Plan(const JobLedger& jobs,
+                                 TimePoint now,
+                                 const CrashLedger& crashes) {
   SamplePlan plan;
   std::erase_if(done_unlisted_, [&](const SampleKey& key) {
     const Job* job = jobs.Find(key.job);
@@ -45,7 +50,9 @@
     return !job || job->ended;
   });
   PlanStops(jobs, now, &plan);
-  for (const Candidate& candidate : Waiting(jobs, now)) {
+  const std::vector<Candidate> waiting = Waiting(jobs, now, crashes);
+  PlanQuarantines(waiting, now);
+  for (const Candidate& candidate : waiting) {
     if (EngineState* engine = ChooseEngine(candidate, now)) {
       Start(candidate, *engine, now, &plan);
     }
@@ -120,13 +127,14 @@
 
 std::vector<SampleScheduler::Candidate> SampleScheduler::Waiting(
     const JobLedger& jobs,
-    TimePoint now) const {
+    TimePoint now,
+    const CrashLedger& crashes) const {
   std::vector<Candidate> needed;
   std::vector<Candidate> spare;
   for (const std::string& id : jobs.order()) {
     const Job& job = *jobs.Find(id);
     if (!job.ended && !job.AllListed()) {
-      AddWaiting(id, job, now, &needed, &spare);
+      AddWaiting(id, job, now, crashes, &needed, &spare);
     }
   }
   needed.insert(needed.end(), spare.begin(), spare.end());
@@ -136,6 +144,7 @@
 void SampleScheduler::AddWaiting(const std::string& id,
                                  const Job& job,
                                  TimePoint now,
+                                 const CrashLedger& crashes,
                                  std::vector<Candidate>* needed,
                                  std::vector<Candidate>* spare) const {
   struct Group {
@@ -166,8 +175,14 @@
     const auto retry = retry_states_.find(key);
     const bool paused =
         retry != retry_states_.end() && now < retry->second.retry_at;
-    if (run == runs_.end() && !paused && !done_unlisted_.contains(key)) {
-      group.waiting.push_back({key, &job, remaining});
+    const size_t crash_count =
+        crashes.empty() ? 0 : crashes.CrashCount(sample.id());
+    const bool crashes_engines =
+        crash_count >= kMaxSampleCrashes && crashes.CrashedAlone(sample.id());
+    if (run == runs_.end() && !paused && !crashes_engines &&
+        !done_unlisted_.contains(key)) {
+      group.waiting.push_back(
+          {key, &job, remaining, crash_count >= CrashLedger::kSuspectCrashes});
     }
   }
   uint32_t groups_needed = job.submit.group_count() != 0
@@ -198,8 +213,54 @@
                    });
 }
 
+void SampleScheduler::PlanQuarantines(const std::vector<Candidate>& waiting,
+                                      TimePoint now) {
+  Quarantines next;
+  for (const auto& [key, run] : runs_) {
+    if (const EngineState* engine = engine_table_.Find(run.engine);
+        engine && run.quarantined) {
+      next[engine->service] = engine->id;
+    }
+  }
+  for (const Candidate& candidate : waiting) {
+    const std::string& service = candidate.job->submit.service();
+    if (!candidate.suspect || next.contains(service)) {
+      continue;
+    }
+    if (const auto present = quarantines_.find(service);
+        present != quarantines_.end()) {
+      const EngineState* engine = engine_table_.Find(present->second);
+      if (engine && Fits(candidate, *engine, now)) {
+        next[service] = engine->id;
+        continue;
+      }
+    }
+    const EngineState* emptiest = nullptr;
+    for (const auto& [id, engine] : engine_table_.engines()) {
+      if (Fits(candidate, engine, now) &&
+          (!emptiest || engine.running < emptiest->running)) {
+        emptiest = &engine;
+      }
+    }
+    if (emptiest) {
+      next[service] = emptiest->id;
+    }
+  }
+  quarantines_ = std::move(next);
+}
+
 EngineState* SampleScheduler::ChooseEngine(const Candidate& candidate,
                                            TimePoint now) {
+  if (candidate.suspect) {
+    const auto quarantine = quarantines_.find(candidate.job->submit.service());
+    EngineState* engine = quarantine == quarantines_.end()
+                              ? nullptr
+                              : engine_table_.Find(quarantine->second);
+    const bool is_free =
+        engine && engine->running == 0 && Fits(candidate, *engine, now) &&
+        rate_limits_.TimeToSend(engine->id, now) <= Duration::zero();
+    return is_free ? engine : nullptr;
+  }
   const SampleText& output = candidate.job->samples[candidate.key.index].output;
   if (output.events == 0) {
     return BestEngine(candidate, nullptr, now);
@@ -224,40 +285,50 @@
   return BestEngine(candidate, nullptr, now);
 }
 
+bool SampleScheduler::Fits(const Candidate& candidate,
+                           const EngineState& engine,
+                           TimePoint now) const {
+  const wire::JobSubmit& submit = candidate.job->submit;
+  const SampleText& output = candidate.job->samples[candidate.key.index].output;
+  const uint64_t version = engine.ServableVersion(submit.model(), now);
+  const bool fits_version =
+      version != 0 && version >= submit.min_version() &&
+      (!submit.single_version() || output.versions.empty() ||
+       output.versions.front() == version);
+  const auto retry = retry_states_.find(candidate.key);
+  const bool excluded = retry != retry_states_.end() &&
+                        retry->second.excluded_engine == engine.id &&
+                        now < retry->second.excluded_until;
+  return engine.service == submit.service() && engine.Usable(now) &&
+         fits_version && !excluded;
+}
+
 EngineState* SampleScheduler::BestEngine(const Candidate& candidate,
                                          const std::string* software_version,
                                          TimePoint now) {
   const wire::JobSubmit& submit = candidate.job->submit;
   const auto& sample = submit.samples(static_cast<int>(candidate.key.index));
-  const SampleText& output = candidate.job->samples[candidate.key.index].output;
   const uint64_t tokens = sample.prompt_tokens() + sample.expected_tokens();
   const Duration median_gap = engine_table_.MedianEventGap(submit.service());
-  const auto retry = retry_states_.find(candidate.key);
+  const auto quarantine = quarantines_.find(submit.service());
   EngineState* best = nullptr;
   double best_cost = std::numeric_limits<double>::max();
   for (auto& [id, engine] : engine_table_.engines()) {
     if (software_version && engine.software_version != *software_version) {
       continue;
     }
-    const uint64_t version = engine.ServableVersion(submit.model(), now);
-    const bool fits_version =
-        version != 0 && version >= submit.min_version() &&
-        (!submit.single_version() || output.versions.empty() ||
-         output.versions.front() == version);
     const bool fits_memory =
         engine.cache_tokens == 0 || engine.running == 0 ||
         static_cast<double>(engine.reserved_tokens + tokens) <=
             options_.memory_share * static_cast<double>(engine.cache_tokens);
-    const bool excluded = retry != retry_states_.end() &&
-                          retry->second.excluded_engine == id &&
-                          now < retry->second.excluded_until;
+    const bool quarantined =
+        quarantine != quarantines_.end() && quarantine->second == id;
     // After a failure, a single sample probes whether the engine works again.
     const bool awaits_probe =
         engine.backoff > Duration::zero() && engine.running > 0;
-    if (excluded || awaits_probe || engine.service != submit.service() ||
-        !engine.Usable(now) || engine.running >= engine.slots ||
-        rate_limits_.TimeToSend(id, now) > Duration::zero() || !fits_version ||
-        !fits_memory) {
+    if (quarantined || awaits_probe || engine.running >= engine.slots ||
+        rate_limits_.TimeToSend(id, now) > Duration::zero() || !fits_memory ||
+        !Fits(candidate, engine, now)) {
       continue;
     }
     double relative_gap = 1.0;
@@ -294,6 +365,7 @@
   run.events =
       output.software_version == engine.software_version ? output.events : 0;
   run.expected_events = ExpectedEvents(submit, sample);
+  run.quarantined = candidate.suspect;
   run.last_progress = now;
   rate_limits_.Acquire(engine.id, {}, now);
   ++engine.running;
@@ -376,6 +448,7 @@
   retry_states_.clear();
   done_unlisted_.clear();
   resume_waits_.clear();
+  quarantines_.clear();
 }
 
 bool SampleScheduler::idle(const JobLedger& jobs) const {
--- a/src/limpethatch/version/sample_scheduler.h
+++ b/src/limpethatch/version/sample_scheduler.h
@@ -6,6 +6,10 @@
 // groups that can complete soonest, starts their longest samples first, and
 // leaves the remaining groups to the end. It moves samples off engines that
 // became slow or silent; their streams resume elsewhere after the last event.
+//
+// A sample that was running when engines crashed may be the cause or merely
+// have been there. It runs again on an engine that runs nothing else, so that
+// another crash is evidence against this sample alone.
 #ifndef LIMPETHATCH_VERSION_SAMPLE_SCHEDULER_H_
 #define LIMPETHATCH_VERSION_SAMPLE_SCHEDULER_H_
 
@@ -18,6 +22,7 @@
 
 #include "limpethatch/process/clock.h"
 #include "limpethatch/process/target_rate_limits.h"
+#include "limpethatch/version/crash_ledger.h"
 #include "limpethatch/version/engine_table.h"
 #include "limpethatch/version/job_ledger.h"
 
@@ -102,7 +107,10 @@
 
   // Returns the runs to stop and to start now. The starts count as running
   // from this call on.
-  SamplePlan Plan(const JobLedger& jobs, TimePoint now);
+  // `crashes` has the samples that were running when engines crashed.
+  SamplePlan Plan(const JobLedger& jobs,
+                  TimePoint now,
+                  const CrashLedger& crashes = {});
   // `events` is the total number of events of the sample so far.
   void RecordEvents(const SampleKey& key, uint32_t events, TimePoint now);
   void EndRun(const SampleKey& key, RunOutcome outcome, TimePoint now);
@@ -123,6 +131,7 @@
     uint32_t expected_events = 0;
     bool has_event = false;  // At least one event arrived.
     bool stopping = false;
+    bool quarantined = false;  // Nothing else may start on its engine.
     TimePoint last_progress;
   };
   struct RetryState {
@@ -137,22 +146,35 @@
     SampleKey key;
     const Job* job = nullptr;
     uint32_t remaining = 0;  // Events.
+    bool suspect = false;    // Engines crashed while running it.
   };
+  // Engines by service.
+  using Quarantines = std::map<std::string, std::string, std::less<>>;
 
   void PlanStops(const JobLedger& jobs, TimePoint now, SamplePlan* plan);
   bool ShouldMove(const SampleKey& key, const Run& run, TimePoint now) const;
-  std::vector<Candidate> Waiting(const JobLedger& jobs, TimePoint now) const;
+  std::vector<Candidate> Waiting(const JobLedger& jobs,
+                                 TimePoint now,
+                                 const CrashLedger& crashes) const;
   void AddWaiting(const std::string& id,
                   const Job& job,
                   TimePoint now,
+                  const CrashLedger& crashes,
                   std::vector<Candidate>* needed,
                   std::vector<Candidate>* spare) const;
+  // Keeps one engine of each service with suspects free of other samples.
+  void PlanQuarantines(const std::vector<Candidate>& waiting, TimePoint now);
   EngineState* ChooseEngine(const Candidate& candidate, TimePoint now);
   // The engine that takes the sample at the least cost; null if none can now. A
   // null `software_version` stands for any.
   EngineState* BestEngine(const Candidate& candidate,
                           const std::string* software_version,
                           TimePoint now);
+  // Whether the engine may take the sample now, as far as this sample's needs,
+  // versions and failures go.
+  bool Fits(const Candidate& candidate,
+            const EngineState& engine,
+            TimePoint now) const;
   uint32_t ExpectedEvents(const wire::JobSubmit& submit,
                           const wire::JobSample& sample) const;
   void Start(const Candidate& candidate,
@@ -169,6 +191,8 @@
   std::set<SampleKey> done_unlisted_;
   // Samples that wait for an engine of their software version, since when.
   std::map<SampleKey, TimePoint> resume_waits_;
+  // Where suspects run, or will once the other samples there have ended.
+  Quarantines quarantines_;
   std::map<std::string, uint32_t, std::less<>> tokens_per_event_;
 };
 
--- a/src/programs/control/fleet_leader.cc
+++ b/src/programs/control/fleet_leader.cc
@@ -98,7 +98,8 @@
       weight_order_client_.OrderLoad(load, false);
     }
   }
-  const SamplePlan plan = scheduler_.Plan(ledger().jobs(), now);
+  const SamplePlan plan =
+      scheduler_.Plan(ledger().jobs(), now, ledger().crashes());
   for (const SampleStop& stop : plan.stops) {
     sample_runner_.Stop(stop);
   }
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -87,6 +87,10 @@
       disk_(settings.data_folder),
       epoch_(RandomEpoch()),
       configuration_transfers_(kTransferConfirmationTimeout),
+      crash_detector_(
+          io,
+          {[this](std::vector<wire::CrashedRun> runs) { RecordCrashes(runs); },
+           [this](const std::string& target) { return OtherTargets(target); }}),
       sample_runner_(io,
                      timers,
                      scheduler_,
@@ -98,6 +102,13 @@
                              uint64_t incarnation,
                              std::optional<double> rate_limit) {
                         ObserveRateLimit(engine, incarnation, rate_limit);
+                      },
+                      [this](const UnfinishedRun& run, bool connection_lost) {
+                        if (connection_lost) {
+                          crash_detector_.OnConnectionLost(run);
+                        } else {
+                          crash_detector_.OnNoAnswer(run);
+                        }
                       }}),
       weight_order_client_(io,
                            settings.process.id,
@@ -130,6 +141,7 @@
   timers_.Every(kHousekeepingPeriod, [this](TimePoint now) {
     ExpireJobs(now);
     DropRateLimitsOfGoneTargets();
+    ForgetCrashes(now);
     std::erase_if(watchers_, [&](const auto& entry) {
       const bool expired = now - entry.second.last_contact_at > kWatcherTimeout;
       if (expired) {
@@ -432,6 +444,10 @@
         {{"version", pushed_configuration_version_}});
     ScheduleNewsPush();
   }
+  if (ledger().crashes().revision() != pushed_crash_revision_) {
+    pushed_crash_revision_ = ledger().crashes().revision();
+    ScheduleNewsPush();
+  }
   if (replica_.consensus() && replica_.consensus()->leading()) {
     ScheduleLeaderTasks();
   }
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -15,6 +15,7 @@
 
 #include "envelope.pb.h"
 #include "limpethatch/connection/control_client.h"
+#include "limpethatch/connection/crash_detector.h"
 #include "limpethatch/connection/fleet_interface.h"
 #include "limpethatch/connection/http_server.h"
 #include "limpethatch/process/disk.h"
@@ -159,6 +160,15 @@
   wire::TargetRates EncodeRateLimits() const;
   void DropRateLimitsOfGoneTargets();
 
+  // Requests that crash targets.
+  // Proposes to record the runs during which targets crashed.
+  void RecordCrashes(const std::vector<wire::CrashedRun>& runs);
+  // Proposes to forget crashes of targets that have been heard from since, and
+  // those of long ago.
+  void ForgetCrashes(TimePoint now);
+  // Addresses of a few targets other than `target`.
+  std::vector<Endpoint> OtherTargets(const std::string& target) const;
+
   // Streams of clients.
   // Records what a gateway told, and tells the other control instances, one of
   // which may lead next.
@@ -214,6 +224,7 @@
   std::map<std::string, Watcher> watchers_;  // Gateways by instance id.
   bool push_scheduled_ = false;
   uint64_t pushed_configuration_version_ = 0;
+  uint64_t pushed_crash_revision_ = 0;
   TransferQueue configuration_transfers_;
   bool transfers_scheduled_ = false;
   std::string packed_configuration_;
@@ -228,6 +239,10 @@
   // To be included in the next digest.
   std::vector<wire::StreamOrigin> pending_digest_origins_;
 
+  CrashDetector crash_detector_;
+  // When this instance first saw each crash on record.
+  std::map<CrashedProcess, TimePoint> crash_first_seen_at_;
+
   std::vector<PendingJobQuery> pending_job_queries_;
   std::vector<PendingConfigurationRead> pending_configuration_reads_;
 
--- a/src/programs/control/fleet_targets.cc
+++ b/src/programs/control/fleet_targets.cc
@@ -64,6 +64,7 @@
   if (change == TargetChange::kStale) {
     return false;
   }
+  crash_detector_.OnAnnounced(target);
   const TimePoint now = Clock::now();
   if (targets_.revision() != before) {
     ScheduleTargetSave();
@@ -174,6 +175,7 @@
   news.set_leader(replica_.LeaderEndpoint());
   news.set_configuration_version(ledger().configuration().version());
   *news.mutable_target_rates() = EncodeRateLimits();
+  *news.mutable_suspects() = ledger().crashes().Suspects();
   news.add_control_endpoints(settings_.peers.ToString());
   for (const auto& [id, peer] : peers_) {
     if (now - peer.last_contact_at < kAliveTimeout) {
--- a/src/programs/control/sample_runner.cc
+++ b/src/programs/control/sample_runner.cc
@@ -172,6 +172,9 @@
   if (generation != generation_) {
     return;
   }
+  if (run->sent && run->error) {
+    ReportUnfinished(*run);
+  }
   if (run->stopped && outcome != RunOutcome::kDone) {
     outcome = RunOutcome::kStopped;
   }
@@ -197,7 +200,9 @@
   if (generation != generation_) {
     return RunOutcome::kStopped;
   }
+  run->sent = outcome.progress != CallProgress::kNotSent;
   if (!outcome.stream) {
+    run->error = outcome.error;
     run->reason = outcome.error.message();
     return RunOutcome::kBroken;
   }
@@ -280,7 +285,8 @@
       return RunOutcome::kStopped;
     }
     if (!chunk) {
-      run->reason = chunk.error().message();
+      run->error = chunk.error();
+      run->reason = run->error.message();
       return RunOutcome::kBroken;
     }
     if (chunk.value().empty()) {
@@ -384,6 +390,15 @@
   });
 }
 
+void SampleRunner::ReportUnfinished(const Run& run) {
+  listener_.on_unfinished({.request = run.sample.id(),
+                           .target = run.start.engine,
+                           .incarnation = run.incarnation,
+                           .address = run.address.ToString(),
+                           .ended_at = Clock::now()},
+                          run.error == HttpError::kConnectionLost);
+}
+
 void SampleRunner::RecordRunEnd(const Run& run, RunOutcome outcome) {
   switch (outcome) {
     case RunOutcome::kDone:
--- a/src/programs/control/sample_runner.h
+++ b/src/programs/control/sample_runner.h
@@ -15,6 +15,7 @@
 #include "limpethatch/connection/http_client.h"
 #include "limpethatch/connection/read_pacer.h"
 #include "limpethatch/process/timer_service.h"
+#include "limpethatch/request/unfinished_runs.h"
 #include "limpethatch/version/job_ledger.h"
 #include "limpethatch/version/sample_scheduler.h"
 #include "limpethatch/version/sample_stream_validator.h"
@@ -34,6 +35,9 @@
                        uint64_t incarnation,
                        std::optional<double> rate_limit)>
         on_answer;
+    // A run ended without a complete answer, after the sample was sent.
+    std::function<void(const UnfinishedRun& run, bool connection_lost)>
+        on_unfinished;
   };
 
   SampleRunner(boost::asio::io_context& io,
@@ -94,7 +98,9 @@
     std::shared_ptr<HttpCancelToken> cancel =
         std::make_shared<HttpCancelToken>();
     bool stopped = false;
-    std::string reason;  // Why the run ended, for the log line.
+    bool sent = false;
+    std::error_code error;  // Of the connection.
+    std::string reason;     // Why the run ended, for the log line.
     TimePoint started_at;
     uint32_t events_before = 0;
   };
@@ -115,6 +121,8 @@
   RunOutcome RecordFailure(const RunPtr& run);
   void DiscardOutput(Progress& progress);
   void ScheduleFlush();
+  // Tells the listener of a run that got no complete answer.
+  void ReportUnfinished(const Run& run);
   // Counts and logs the end of a run.
   void RecordRunEnd(const Run& run, RunOutcome outcome);
 
--- a/src/programs/gateway/fleet_subscriber.cc
+++ b/src/programs/gateway/fleet_subscriber.cc
@@ -199,6 +199,7 @@
   last_quorum_contact_at_ = now;
   freshness_.SetInstances(static_cast<size_t>(news.control_endpoints_size()));
   callbacks_.on_target_rates(news.target_rates());
+  callbacks_.on_suspects(news.suspects());
   for (ControlInstance& known : control_instances_) {
     known.tried = false;
     known.reachable =
--- a/src/programs/gateway/fleet_subscriber.h
+++ b/src/programs/gateway/fleet_subscriber.h
@@ -28,6 +28,9 @@
     // Called with the rate limits of targets that the current control instance
     // knows.
     std::function<void(const wire::TargetRates& rates)> on_target_rates;
+    // Called with the requests that the current control instance knows as
+    // running at crashes of targets.
+    std::function<void(const wire::SuspectRequests& suspects)> on_suspects;
     // Called for each new or changed target, also for those that are gone.
     std::function<void(const wire::TargetRecord& target)> on_target;
   };
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -65,9 +65,14 @@
                          [this](const wire::TargetRates& rates) {
                            target_permits_.OnNews(rates);
                          },
+                         [this](const wire::SuspectRequests& suspects) {
+                           suspect_requests_.OnNews(suspects);
+                         },
                          [this](const wire::TargetRecord& target) {
                            stream_directory_.OnTarget(target);
+                           suspect_requests_.OnTarget(target);
                          }}),
+      suspect_requests_(io_, control_client_, fleet_subscriber_.targets()),
       target_client_(
           io_,
           HttpClientOptions{.translation = settings.process.address_translation,
@@ -95,7 +100,8 @@
                          random_,
                          metrics_,
                          target_permits_,
-                         stream_directory_},
+                         stream_directory_,
+                         suspect_requests_},
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       settings_watcher_(timers_, settings_path_, [this] { Reload(); }),
       event_loop_monitor_(timers_, kEventLoopCheckPeriod) {}
--- a/src/programs/gateway/gateway.h
+++ b/src/programs/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "programs/gateway/gateway_settings.h"
 #include "programs/gateway/live_call.h"
 #include "programs/gateway/stream_directory.h"
+#include "programs/gateway/suspect_requests.h"
 #include "programs/gateway/target_permits.h"
 
 namespace limpethatch {
@@ -80,6 +81,7 @@
   TargetPermits target_permits_;
   StreamDirectory stream_directory_;
   FleetSubscriber fleet_subscriber_;
+  SuspectRequests suspect_requests_;
   HttpClient target_client_;
   HttpServer caller_server_;
   HttpServer readiness_server_;
--- a/src/programs/gateway/live_call.cc
+++ b/src/programs/gateway/live_call.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "limpethatch/connection/http_error.h"
 #include "limpethatch/connection/request_content.h"
 #include "limpethatch/process/log.h"
 #include "limpethatch/request/live_attempts.h"
@@ -142,7 +143,8 @@
         return;
       }
       const TimePoint now = Clock::now();
-      if (permitted_ && now < deadline_) {
+      is_refused_ = context_.suspects.IsRefused(state_->content);
+      if (permitted_ && now < deadline_ && !is_refused_) {
         if (now >= permitted_->send_at) {
           const RoutedTargetPtr target = std::move(permitted_->target);
           permitted_.reset();
@@ -152,7 +154,7 @@
         }
         continue;
       }
-      const RoutedTargetPtr target = ChooseTarget(now);
+      const RoutedTargetPtr target = is_refused_ ? nullptr : ChooseTarget(now);
       const LiveAction action =
           state_->attempt_policy->Next(target != nullptr, now);
       if (action.kind == LiveAction::Kind::kGiveUp) {
@@ -265,6 +267,7 @@
         context.client.Open(yield, target.target.address, request, options);
     std::optional<AttemptResult> result;
     std::string reason;
+    std::error_code error = outcome.error;  // Of the connection.
     if (!outcome.stream) {
       result = outcome.progress == CallProgress::kNotSent
                    ? AttemptResult::kNotRun
@@ -272,13 +275,23 @@
       reason = outcome.error.message();
     } else {
       result = ReadAnswer(yield, state, context, target, *outcome.stream,
-                          attempt_id, &reason);
+                          attempt_id, &reason, &error);
     }
     if (state.finished) {
+      if (!state.answer && error) {
+        context.suspects.OnNoAnswer(state.content, target.target);
+      }
       return;  // The destructor of the ticket records the call as cancelled.
     }
     ticket.Finish(result ? CallOutcome::kFailed : CallOutcome::kAnswered,
                   Clock::now());
+    if (result == AttemptResult::kUnknown) {
+      if (error == HttpError::kConnectionLost) {
+        context.suspects.OnConnectionLost(state.content, target.target);
+      } else if (error) {
+        context.suspects.OnNoAnswer(state.content, target.target);
+      }
+    }
     if (result) {
       state.attempt_policy->Ended(*result);
       Log(LogLevel::kInfo, "attempt_failed",
@@ -295,14 +308,15 @@
 
   // Reads the answer of a target into `state`. Returns nullopt if it can be
   // returned to the caller, otherwise how the attempt failed, with the reason
-  // in `reason`.
+  // in `reason` and the error of the connection, if it has one, in `error`.
   static std::optional<AttemptResult> ReadAnswer(Yield yield,
                                                  CallState& state,
                                                  LiveCallContext& context,
                                                  const RoutedTarget& target,
                                                  HttpStream& stream,
                                                  const std::string& attempt_id,
-                                                 std::string* reason) {
+                                                 std::string* reason,
+                                                 std::error_code* error) {
     const platform::TargetAnswerHeaders answer_headers =
         platform::DecodeTargetAnswerHeaders(stream.status(), stream.headers(),
                                             attempt_id);
@@ -337,7 +351,8 @@
     while (true) {
       Result<std::string> chunk = stream.Read(yield);
       if (!chunk) {
-        *reason = chunk.error().message();
+        *error = chunk.error();
+        *reason = error->message();
         return AttemptResult::kUnknown;
       }
       if (chunk.value().empty()) {
@@ -372,6 +387,7 @@
   }
 
   void RespondWith(const TargetAnswer& answer) {
+    context_.suspects.OnAnswered(state_->content);
     CancelAttempts();
     exchange_.Respond(answer.response);
     const Duration latency = Clock::now() - started_at_;
@@ -394,6 +410,7 @@
     const bool deadline_passed = now >= deadline_;
     CancelAttempts();
     const std::string reason = target_failure            ? "target_error"
+                               : is_refused_             ? "crashes_targets"
                                : deadline_passed         ? "deadline"
                                : permit_wait_ && not_run ? "rate_limit"
                                : must_resume_ && !software_version_
@@ -425,9 +442,10 @@
                                          : kBadGateway;
     const Duration retry_after =
         std::max<Duration>(kRetryAfter, permit_wait_.value_or(kRetryAfter));
+    const bool may_return = not_run && !is_refused_;
     exchange_.Respond(platform::MakeRefusal(
         status, caller_headers_, reason,
-        not_run ? std::optional<Duration>(retry_after) : std::nullopt));
+        may_return ? std::optional<Duration>(retry_after) : std::nullopt));
     context_.metrics.RecordAnswer(route_.name(), status, now - started_at_);
   }
 
@@ -442,6 +460,8 @@
   // nullopt if that is unknown, and then no target is used.
   bool must_resume_ = false;
   std::optional<std::string> software_version_;
+  // Targets crashed while running this request, too often to run it again.
+  bool is_refused_ = false;
   std::optional<PermittedTarget> permitted_;
   // Targets with a rate limit for which a permit was requested.
   std::vector<std::string> rate_limited_;
--- a/src/programs/gateway/live_call.h
+++ b/src/programs/gateway/live_call.h
@@ -14,6 +14,7 @@
 #include "limpethatch/request/router.h"
 #include "programs/gateway/gateway_metrics.h"
 #include "programs/gateway/stream_directory.h"
+#include "programs/gateway/suspect_requests.h"
 #include "programs/gateway/target_permits.h"
 
 namespace limpethatch {
@@ -28,6 +29,7 @@
   GatewayMetrics& metrics;
   TargetPermits& permits;
   StreamDirectory& streams;
+  SuspectRequests& suspects;
   // Of the bodies of answers that are being read.
   size_t buffered_answer_bytes = 0;
 };
--- a/tests/control/sample_runner_test.cc
+++ b/tests/control/sample_runner_test.cc
@@ -107,7 +107,7 @@
                          recorded.push_back(advances);
                          return true;
                        },
-                       [] {}, [](auto&, auto, auto) {}}};
+                       [] {}, [](auto&, auto, auto) {}, [](auto&, bool) {}}};
 };
 
 }  // namespace
--- a/tests/gateway/fleet_subscriber_test.cc
+++ b/tests/gateway/fleet_subscriber_test.cc
@@ -60,10 +60,11 @@
   TimerService timers{io};
   Messenger messenger{io, {}, [](std::string_view) {}};
   const GatewaySettings settings;
-  FleetSubscriber subscriber{timers,
-                             messenger,
-                             settings,
-                             {[](auto&) {}, [](auto&) {}, [](auto&) {}}};
+  FleetSubscriber subscriber{
+      timers,
+      messenger,
+      settings,
+      {[](auto&) {}, [](auto&) {}, [](auto&) {}, [](auto&) {}}};
 };
 
 }  // namespace
--- a/tests/version/sample_scheduler_test.cc
+++ b/tests/version/sample_scheduler_test.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -382,6 +383,115 @@
   cr_assert(started, "not started within 5 s");
 }
 
+// Under one sample each engine crashed, again and again; beside it ran samples
+// that had no part in that. The first must end, the others must be completed.
+Test(sample_scheduler, a_sample_that_crashes_engines_ends_and_others_complete) {
+  constexpr uint32_t kPoison = 3;
+  SchedulerFixture fixture(3, 4);
+  fixture.Submit("a", {{20, 20, 20, 20, 20, 20, 20, 20}});
+  CrashLedger crashes;
+  std::map<std::string, uint64_t> incarnations;
+  std::map<std::string, std::set<uint32_t>> running;
+  int poison_runs = 0;
+  std::set<uint32_t> completed;
+  for (int i = 0; i < 800; ++i, fixture.now += milliseconds(50)) {
+    if (i == 400) {
+      fixture.scheduler.Reset();  // Another leader takes over.
+      running.clear();
+    }
+    const SamplePlan plan =
+        fixture.scheduler.Plan(fixture.jobs, fixture.now, crashes);
+    for (const SampleStart& start : plan.starts) {
+      running[start.engine].insert(start.key.index);
+      poison_runs += start.key.index == kPoison ? 1 : 0;
+    }
+    for (auto& [engine, samples] : running) {
+      if (samples.contains(kPoison)) {
+        const uint64_t incarnation = ++incarnations[engine];
+        wire::CrashEvidence evidence;
+        for (const uint32_t index : samples) {
+          wire::CrashedRun& run = *evidence.add_crashed_runs();
+          run.set_request("a" + std::to_string(index + 1));
+          run.mutable_process()->set_target(engine);
+          run.mutable_process()->set_incarnation(incarnation);
+          fixture.scheduler.EndRun({"a", index}, RunOutcome::kBroken,
+                                   fixture.now);
+        }
+        crashes.Apply(evidence);
+        samples.clear();
+      }
+      for (const uint32_t index :
+           i % 40 == 39 ? std::exchange(samples, {}) : std::set<uint32_t>()) {
+        fixture.scheduler.RecordEvents({"a", index}, 20, fixture.now);
+        fixture.scheduler.EndRun({"a", index}, RunOutcome::kDone, fixture.now);
+        fixture.RecordCompletion("a", index);
+        completed.insert(index);
+      }
+    }
+  }
+  cr_assert_eq(completed.size(), 7, "%zu completed", completed.size());
+  // Three more than the crashes that make it known.
+  cr_assert_leq(poison_runs, 6, "%d runs", poison_runs);
+}
+
+// Guards against giving up a sample that was merely there when engines crashed
+// under another one.
+Test(sample_scheduler, a_sample_beside_one_that_crashes_engines_starts_again) {
+  SchedulerFixture fixture(2, 4);
+  fixture.Submit("a", {{20}});
+  CrashLedger crashes;
+  for (uint64_t incarnation = 1; incarnation <= 12; ++incarnation) {
+    wire::CrashEvidence evidence;
+    for (const char* sample : {"a1", "poison"}) {
+      wire::CrashedRun& run = *evidence.add_crashed_runs();
+      run.set_request(sample);
+      run.mutable_process()->set_target("engine9");
+      run.mutable_process()->set_incarnation(incarnation);
+    }
+    crashes.Apply(evidence);
+  }
+  const SamplePlan plan =
+      fixture.scheduler.Plan(fixture.jobs, fixture.now, crashes);
+  cr_assert(plan.starts.size() == 1);
+}
+
+// Guards against evidence that says nothing: other samples on the engine on
+// which a suspect runs.
+Test(sample_scheduler, a_suspect_runs_where_nothing_else_does) {
+  SchedulerFixture fixture(2, 4);
+  fixture.Submit("a", {{20}, {20}});
+  cr_assert(fixture.scheduler.Plan(fixture.jobs, fixture.now).starts.size() ==
+            2);
+  CrashLedger crashes;
+  for (const char* engine : {"engine8", "engine9"}) {
+    wire::CrashEvidence evidence;
+    wire::CrashedRun& run = *evidence.add_crashed_runs();
+    run.set_request("b1");
+    run.mutable_process()->set_target(engine);
+    crashes.Apply(evidence);
+  }
+  fixture.Submit("b", {{20, 20, 20, 20}});
+  // Each engine runs a sample: the suspect waits, and its engine empties.
+  SamplePlan plan = fixture.scheduler.Plan(fixture.jobs, fixture.now, crashes);
+  cr_assert(plan.starts.size() == 3);
+  const std::string others_engine = plan.starts[0].engine;
+  for (const SampleStart& start : plan.starts) {
+    cr_assert(start.key.index != 0 && start.engine == others_engine);
+  }
+  for (const uint32_t index : {0u, 1u}) {
+    fixture.scheduler.EndRun({"a", index}, RunOutcome::kDone, fixture.now);
+    fixture.RecordCompletion("a", index);
+  }
+  plan = fixture.scheduler.Plan(fixture.jobs, fixture.now, crashes);
+  cr_assert(plan.starts.size() == 1);
+  cr_assert(plan.starts[0].key.index == 0);
+  cr_assert(plan.starts[0].engine != others_engine);
+  fixture.Submit("c", {{20}, {20}, {20}});
+  plan = fixture.scheduler.Plan(fixture.jobs, fixture.now, crashes);
+  cr_assert(plan.starts.size() == 1);
+  cr_assert(plan.starts[0].engine == others_engine);
+}
+
 // Engines of two software versions served side by side; a sample whose stream
 // had broken off went on at whichever had the least load.
 Test(sample_scheduler, a_sample_is_resumed_by_the_software_that_began_it) {
