Hand requests to another gateway when no target can be reached

Cause: a gateway had no way to a target but its own connections, nothing learnt from its calls that these did not work, and control, callers and the readiness check saw a healthy gateway.

A gateway now decides from its own calls that it cannot reach a service and hands requests to another gateway that says it can. It does so too when the first attempt fails and there was no contact with the service for a second, so that the first request after a cut is served as well. The other gateway sends the request to one target that may run it, does not hand it on, and answers whether it ran. Idle connections to targets get keep-alive probes, so that requests are not sent into silent ones.

--- a/src/limpethatch/connection/http_client.cc
+++ b/src/limpethatch/connection/http_client.cc
@@ -21,6 +21,7 @@
 // the error.
 struct SentRequest {
   CallProgress progress = CallProgress::kNotSent;
+  bool opened_connection = false;
   std::error_code error;
   std::unique_ptr<HttpConnection> connection;
 };
@@ -43,6 +44,7 @@
       if (!sent.connection) {
         return sent;
       }
+      sent.opened_connection = true;
     }
     if (Clock::now() >= options.deadline) {
       sent.error = HttpError::kDeadlineExceeded;
@@ -151,6 +153,7 @@
   }
   SentRequest sent = Send(yield, *pool_, endpoint, text.value(), options);
   outcome.progress = sent.progress;
+  outcome.opened_connection = sent.opened_connection;
   outcome.error = sent.error;
   if (sent.error) {
     return outcome;
--- a/src/limpethatch/connection/http_client.h
+++ b/src/limpethatch/connection/http_client.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "limpethatch/connection/http_types.h"
@@ -55,10 +56,19 @@
   std::shared_ptr<HttpCancelToken> cancel;
 };
 
+// Probes that the kernel sends on an idle connection. If none is answered, the
+// connection is closed.
+struct TcpKeepAlive {
+  std::chrono::seconds idle_time{1};  // Before the first probe.
+  std::chrono::seconds interval{1};   // Between two probes.
+  int probes = 2;
+};
+
 struct HttpClientOptions {
   AddressTranslation translation;
   size_t max_idle_per_endpoint = 64;
   Duration max_idle_time = std::chrono::seconds(15);
+  std::optional<TcpKeepAlive> keep_alive = {};
 };
 
 struct HttpOutcome {
@@ -84,6 +94,7 @@
 
 struct HttpStreamOutcome {
   CallProgress progress = CallProgress::kNotSent;
+  bool opened_connection = false;      // The peer accepted a new connection.
   std::error_code error;               // Set if stream is null.
   std::unique_ptr<HttpStream> stream;  // Set once the header was received.
 };
--- a/src/limpethatch/connection/internal/http_connection_pool.cc
+++ b/src/limpethatch/connection/internal/http_connection_pool.cc
@@ -1,9 +1,30 @@
 #include "limpethatch/connection/internal/http_connection_pool.h"
 
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <utility>
 
 namespace limpethatch {
+namespace {
+
+// A connection without keep-alive probes still works, so errors are ignored.
+void SetKeepAlive(boost::asio::ip::tcp::socket& socket,
+                  const TcpKeepAlive& keep_alive) {
+  namespace option = boost::asio::detail::socket_option;
+  boost::system::error_code ignored;
+  socket.set_option(option::integer<IPPROTO_TCP, TCP_KEEPIDLE>(
+                        static_cast<int>(keep_alive.idle_time.count())),
+                    ignored);
+  socket.set_option(option::integer<IPPROTO_TCP, TCP_KEEPINTVL>(
+                        static_cast<int>(keep_alive.interval.count())),
+                    ignored);
+  socket.set_option(
+      option::integer<IPPROTO_TCP, TCP_KEEPCNT>(keep_alive.probes), ignored);
+  socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+}
+
+}  // namespace
 
 HttpConnectionPool::HttpConnectionPool(boost::asio::io_context& io,
                                        HttpClientOptions options)
@@ -43,6 +64,9 @@
   if (*error) {
     return nullptr;
   }
+  if (options_.keep_alive) {
+    SetKeepAlive(connection->socket.socket(), *options_.keep_alive);
+  }
   return connection;
 }
 
--- a/src/programs/control/fleet_members.cc
+++ b/src/programs/control/fleet_members.cc
@@ -52,6 +52,7 @@
        std::exchange(pending_digest_origins_, {})) {
     *digest.add_stream_origins() = std::move(origin);
   }
+  *digest.mutable_relays() = RelaysForPeers();
   Broadcast(digest);
 }
 
@@ -93,6 +94,9 @@
     }
   }
   UpdatePeer(digest.sender(), now);
+  if (digest.has_relays()) {
+    peers_[digest.sender().id()].relays = digest.relays();
+  }
   replica_.RecordContact(digest.sender().id(), now);
   for (const wire::ControlInstanceRecord& record : digest.known()) {
     if (!peers_.contains(record.id())) {
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -82,6 +82,8 @@
 
   struct Peer {
     wire::ControlInstanceRecord record;
+    // Some of the gateways that it serves.
+    wire::RelayGateways relays;
     TimePoint last_contact_at;
     bool alive = false;  // As of the last log line.
   };
@@ -89,6 +91,7 @@
     Endpoint reply_to;
     uint64_t revision = 0;
     TimePoint last_contact_at;
+    wire::RelayGateway relay;  // Without an address if it offers nothing.
   };
   struct PendingJobQuery {
     wire::ControlRequest request;
@@ -139,7 +142,10 @@
   void ScheduleNewsPush();
   void PushNews();
   // Sends what changed. The configuration follows later, in SendConfigurations.
-  void SendNews(Watcher& watcher, TimePoint now);
+  // `relays` may be null.
+  void SendNews(Watcher& watcher,
+                TimePoint now,
+                const wire::RelayGateways* relays = nullptr);
   wire::FleetNews MakeNews(TimePoint now) const;
   // Sends the configuration to the gateways that lack it, in slices so that the
   // event loop stays free for the consensus.
@@ -148,6 +154,12 @@
   // The configuration in force, serialised and compressed.
   const std::string& PackedConfiguration();
 
+  // Gateways that relay requests of others.
+  // Some of them for the gateway that offers `own`, of its zone and of others.
+  wire::RelayGateways ChooseRelays(const wire::RelayGateway& own) const;
+  // Some of those that this instance serves, for its peers.
+  wire::RelayGateways RelaysForPeers() const;
+
   // Rate limits of targets.
   // Records what an answer of the target stated, and distributes a change.
   void ObserveRateLimit(const std::string& target,
--- a/src/programs/control/fleet_targets.cc
+++ b/src/programs/control/fleet_targets.cc
@@ -142,8 +142,10 @@
     configuration_transfers_.OnConnectionLost(watch.instance());
   }
   watcher.last_contact_at = now;
+  watcher.relay = watch.relay();
   watcher.revision = watch.epoch() == epoch_ ? watch.revision() : 0;
-  SendNews(watcher, now);
+  const wire::RelayGateways relays = ChooseRelays(watcher.relay);
+  SendNews(watcher, now, &relays);
   if (watch.configuration_version() < ledger().configuration().version()) {
     ScheduleConfigurationTransfers(Duration::zero());
   }
@@ -185,10 +187,15 @@
   return news;
 }
 
-void FleetService::SendNews(Watcher& watcher, TimePoint now) {
+void FleetService::SendNews(Watcher& watcher,
+                            TimePoint now,
+                            const wire::RelayGateways* relays) {
   wire::Envelope envelope;
   wire::FleetNews& news = *envelope.mutable_fleet_news();
   news = MakeNews(now);
+  if (relays) {
+    *news.mutable_relays() = *relays;
+  }
   news.set_base_revision(watcher.revision);
   news.set_revision(targets_.revision());
   for (wire::TargetRecord& target :
--- a/src/programs/gateway/fleet_subscriber.cc
+++ b/src/programs/gateway/fleet_subscriber.cc
@@ -74,6 +74,7 @@
 }
 
 void FleetSubscriber::Start() {
+  started_ = true;
   SendWatch(Clock::now());
   timers_.Every(kCheckPeriod, [this](TimePoint now) { CheckReply(now); });
 }
@@ -87,6 +88,13 @@
   }
 }
 
+void FleetSubscriber::OfferRelay(const wire::RelayGateway& offer) {
+  relay_offer_ = offer;
+  if (started_) {
+    SendWatch(Clock::now());
+  }
+}
+
 void FleetSubscriber::CheckReply(TimePoint now) {
   const Duration elapsed = now - watch_sent_at_;
   const Duration timeout =
@@ -152,6 +160,7 @@
   watch.set_epoch(epoch_);
   watch.set_revision(revision_);
   watch.set_answer_missed(std::exchange(reply_missed_, false));
+  *watch.mutable_relay() = relay_offer_;
   watch_sent_at_ = now;
   reply_received_ = false;
   messenger_.Send(current().endpoint, envelope.SerializeAsString());
@@ -200,6 +209,9 @@
   freshness_.SetInstances(static_cast<size_t>(news.control_endpoints_size()));
   callbacks_.on_target_rates(news.target_rates());
   callbacks_.on_suspects(news.suspects());
+  if (news.has_relays()) {
+    callbacks_.on_relays(news.relays());
+  }
   for (ControlInstance& known : control_instances_) {
     known.tried = false;
     known.reachable =
--- a/src/programs/gateway/fleet_subscriber.h
+++ b/src/programs/gateway/fleet_subscriber.h
@@ -31,6 +31,8 @@
     // Called with the requests that the current control instance knows as
     // running at crashes of targets.
     std::function<void(const wire::SuspectRequests& suspects)> on_suspects;
+    // Called with gateways to which requests may be handed.
+    std::function<void(const wire::RelayGateways& relays)> on_relays;
     // Called for each new or changed target, also for those that are gone.
     std::function<void(const wire::TargetRecord& target)> on_target;
   };
@@ -46,6 +48,8 @@
   // contact are taken from the current control instance only, the rest from
   // any.
   void OnFleetNews(const wire::FleetNews& news);
+  // Tells control what this gateway offers to others, now and from now on.
+  void OfferRelay(const wire::RelayGateway& offer);
   // Adds a control instance to switch to; one that is known is ignored.
   void AddControlInstance(const Endpoint& control_instance);
 
@@ -96,6 +100,8 @@
   // Differs between gateways: spreads them over the control instances at the
   // start, and again when they leave one.
   const size_t spread_;
+  wire::RelayGateway relay_offer_;
+  bool started_ = false;
   std::vector<ControlInstance> control_instances_;
   size_t current_index_ = 0;
   TimePoint watch_sent_at_;
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "envelope.pb.h"
+#include "limpethatch/connection/relay_outcome.h"
 #include "limpethatch/process/log.h"
 #include "platform/gateway_api.h"
 
@@ -24,6 +25,17 @@
 constexpr Duration kEventLoopCheckPeriod = milliseconds(500);
 // Targets close idle connections after some seconds.
 constexpr Duration kTargetConnectionIdleTime = std::chrono::seconds(15);
+// Finds idle connections that carry nothing any more within about two seconds,
+// so that no request is sent on them.
+constexpr TcpKeepAlive kTargetKeepAlive{.idle_time = std::chrono::seconds(1),
+                                        .interval = std::chrono::seconds(1),
+                                        .probes = 2};
+// Requests served for other gateways at the same time; more are refused, so
+// that the callers of this gateway do not suffer.
+constexpr size_t kMaxCallsForGateways = 32;
+// Size of the header fields in which a relayed request may exceed the caller's.
+constexpr size_t kRelayHeaderBytes = 256;
+constexpr int kUnavailable = 503;
 
 ChangeOutcome ToChangeOutcome(ControlCertainty certainty) {
   switch (certainty) {
@@ -68,20 +80,29 @@
                          [this](const wire::SuspectRequests& suspects) {
                            suspect_requests_.OnNews(suspects);
                          },
+                         [this](const wire::RelayGateways& relays) {
+                           relay_choice_.OnNews(relays);
+                         },
                          [this](const wire::TargetRecord& target) {
                            stream_directory_.OnTarget(target);
                            suspect_requests_.OnTarget(target);
                          }}),
       suspect_requests_(io_, control_client_, fleet_subscriber_.targets()),
+      relay_choice_(settings.process.zone),
       target_client_(
           io_,
           HttpClientOptions{.translation = settings.process.address_translation,
-                            .max_idle_time = kTargetConnectionIdleTime}),
+                            .max_idle_time = kTargetConnectionIdleTime,
+                            .keep_alive = kTargetKeepAlive}),
       caller_server_(io_,
                      HttpServerLimits{},
                      [this](HttpExchange& exchange) {
                        platform::ServeGatewayCall(*this, exchange);
                      }),
+      relay_server_(
+          io_,
+          HttpServerLimits{},
+          [this](HttpExchange& exchange) { ServeForGateway(exchange); }),
       readiness_server_(io_,
                         HttpServerLimits{},
                         [this](HttpExchange& exchange) {
@@ -93,6 +114,11 @@
           [this](HttpExchange& exchange) { ServeMetrics(exchange); }),
       router_(RouterOptions{.zone = settings.process.zone}),
       random_(std::random_device()()),
+      service_reach_(
+          io_,
+          fleet_subscriber_.targets(),
+          random_,
+          [this] { fleet_subscriber_.OfferRelay(MakeRelayOffer()); }),
       live_call_context_{io_,
                          target_client_,
                          fleet_subscriber_.targets(),
@@ -101,7 +127,9 @@
                          metrics_,
                          target_permits_,
                          stream_directory_,
-                         suspect_requests_},
+                         suspect_requests_,
+                         service_reach_,
+                         relay_choice_},
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       settings_watcher_(timers_, settings_path_, [this] { Reload(); }),
       event_loop_monitor_(timers_, kEventLoopCheckPeriod) {}
@@ -112,9 +140,12 @@
         {{"peers", settings_.peers.ToString()}, {"error", error.message()}});
     return error;
   }
+  fleet_subscriber_.OfferRelay(MakeRelayOffer());
   fleet_subscriber_.Start();
+  service_reach_.Start(timers_);
   for (auto [server, endpoint] :
        {std::pair(&caller_server_, &settings_.callers),
+        std::pair(&relay_server_, &settings_.relay),
         std::pair(&readiness_server_, &settings_.readiness),
         std::pair(&metrics_server_, &settings_.metrics)}) {
     if (std::error_code error = server->Listen(*endpoint)) {
@@ -173,6 +204,9 @@
     limits.idle_timeout = milliseconds(configured.idle_timeout_ms());
   }
   caller_server_.SetLimits(limits);
+  // The header fields that a gateway adds or writes differently.
+  limits.max_header_bytes += kRelayHeaderBytes;
+  relay_server_.SetLimits(limits);
 }
 
 // Without quorum contact this gateway can neither accept nor read batch jobs,
@@ -188,7 +222,37 @@
 void Gateway::ServeLive(HttpExchange& exchange, const wire::Route& route) {
   // Keeps `route` valid during the call, even if the configuration changes.
   const RouteTablePtr table = fleet_subscriber_.routes();
-  ServeLiveCall(live_call_context_, exchange, route);
+  ServeLiveCall(live_call_context_, exchange, route, LiveCallOrigin::kCaller);
+}
+
+wire::RelayGateway Gateway::MakeRelayOffer() const {
+  wire::RelayGateway offer;
+  if (!stopping_) {
+    offer.set_address(settings_.relay.ToString());
+    offer.set_zone(settings_.process.zone);
+    for (std::string& service : service_reach_.UnreachableServices()) {
+      offer.add_unreachable_services(std::move(service));
+    }
+  }
+  return offer;
+}
+
+void Gateway::ServeForGateway(HttpExchange& exchange) {
+  metrics_.CountCallForGateway();
+  const RouteTablePtr table = fleet_subscriber_.routes();
+  const HttpRequest& request = exchange.request();
+  const wire::Route* route =
+      table ? table->Match(request.headers.Get("Host"), request.path) : nullptr;
+  if (!route || route->kind() == wire::ROUTE_JOBS ||
+      IsConfigurationOutdated() ||
+      relay_server_.active_requests() > kMaxCallsForGateways) {
+    HttpResponse refusal;
+    refusal.status = kUnavailable;
+    SetRelayOutcome(RelayOutcome::kNotRun, &refusal);
+    exchange.Respond(refusal);
+    return;
+  }
+  ServeLiveCall(live_call_context_, exchange, *route, LiveCallOrigin::kGateway);
 }
 
 ChangeOutcome Gateway::SubmitJob(Yield yield, const wire::JobSubmit& submit) {
@@ -301,8 +365,12 @@
       {{"active", caller_server_.active_requests()},
        {"connections", caller_server_.open_connections()}});
   caller_server_.DisableKeepAlive();
-  timers_.After(settings_.accept_time,
-                [this](TimePoint) { caller_server_.Drain(); });
+  relay_server_.DisableKeepAlive();
+  fleet_subscriber_.OfferRelay(MakeRelayOffer());
+  timers_.After(settings_.accept_time, [this](TimePoint) {
+    caller_server_.Drain();
+    relay_server_.Drain();
+  });
   timers_.After(settings_.accept_time, [this, now](TimePoint) {
     ExitWhenIdle(now + settings_.stop_time);
   });
@@ -310,7 +378,8 @@
 
 void Gateway::ExitWhenIdle(TimePoint deadline) {
   const bool idle = caller_server_.active_requests() == 0 &&
-                    caller_server_.open_connections() == 0;
+                    caller_server_.open_connections() == 0 &&
+                    relay_server_.active_requests() == 0;
   if (idle || Clock::now() >= deadline) {
     io_.stop();
     return;
--- a/src/programs/gateway/gateway.h
+++ b/src/programs/gateway/gateway.h
@@ -71,6 +71,10 @@
   void Stop();
   void ExitWhenIdle(TimePoint deadline);
   void ServeMetrics(HttpExchange& exchange);
+  // Serves a request that another gateway hands to this one.
+  void ServeForGateway(HttpExchange& exchange);
+  // What this gateway offers to others; nothing once it stops.
+  wire::RelayGateway MakeRelayOffer() const;
 
   const GatewaySettings settings_;
   const std::string settings_path_;
@@ -82,12 +86,15 @@
   StreamDirectory stream_directory_;
   FleetSubscriber fleet_subscriber_;
   SuspectRequests suspect_requests_;
+  RelayChoice relay_choice_;
   HttpClient target_client_;
   HttpServer caller_server_;
+  HttpServer relay_server_;
   HttpServer readiness_server_;
   HttpServer metrics_server_;
   Router router_;
   std::mt19937_64 random_;
+  ServiceReach service_reach_;
   GatewayMetrics metrics_;
   LiveCallContext live_call_context_;
   boost::asio::signal_set signals_;
--- a/src/programs/gateway/gateway_metrics.cc
+++ b/src/programs/gateway/gateway_metrics.cc
@@ -47,6 +47,12 @@
   text.Single("limpethatch_hedges_total", MetricType::kCounter,
               "Second calls while a first one was open.",
               static_cast<double>(hedges_));
+  text.Single("limpethatch_relayed_calls_total", MetricType::kCounter,
+              "Calls handed to another gateway.",
+              static_cast<double>(relayed_calls_));
+  text.Single("limpethatch_calls_for_gateways_total", MetricType::kCounter,
+              "Calls served for other gateways.",
+              static_cast<double>(calls_for_gateways_));
   text.Single("limpethatch_permits_denied_total", MetricType::kCounter,
               "Requests not sent to a target because of its rate limit.",
               static_cast<double>(permits_denied_));
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -35,6 +35,8 @@
   void RecordAnswer(const std::string& route, int status, Duration latency);
   void CountTargetCall() { ++target_calls_; }
   void CountHedge() { ++hedges_; }
+  void CountRelayedCall() { ++relayed_calls_; }
+  void CountCallForGateway() { ++calls_for_gateways_; }
   // A permit for a target with a rate limit was denied or not to be had.
   void CountPermitDenied() { ++permits_denied_; }
   void CountRefusal(const std::string& reason) { ++refusals_[reason]; }
@@ -52,6 +54,8 @@
   std::map<std::string, uint64_t> job_calls_;          // Keyed by call.
   uint64_t target_calls_ = 0;
   uint64_t hedges_ = 0;
+  uint64_t relayed_calls_ = 0;
+  uint64_t calls_for_gateways_ = 0;
   uint64_t permits_denied_ = 0;
 };
 
--- a/src/programs/gateway/gateway_settings.cc
+++ b/src/programs/gateway/gateway_settings.cc
@@ -8,6 +8,7 @@
   ReadListeners(reader, {{"callers", &callers},
                          {"readiness", &readiness},
                          {"peers", &peers},
+                         {"relay", &relay},
                          {"metrics", &metrics}});
   reader.Read("seeds", &seeds, kRequired);
   reader.Read("stop_time", &stop_time, kOptional);
--- a/src/programs/gateway/gateway_settings.h
+++ b/src/programs/gateway/gateway_settings.h
@@ -14,6 +14,7 @@
   Endpoint callers;    // Serves live requests and batch jobs.
   Endpoint readiness;  // Serves the platform's readiness check.
   Endpoint peers;      // Receives messages of control instances.
+  Endpoint relay;      // Serves requests that other gateways hand to this one.
   Endpoint metrics;    // Port 0 disables the listener.
   // Addresses of some control instances. Only the hosts are used, as control
   // instances receive messages on the same port as this process.
--- a/src/programs/gateway/live_call.cc
+++ b/src/programs/gateway/live_call.cc
@@ -6,32 +6,20 @@
 #include <optional>
 #include <utility>
 
-#include "limpethatch/connection/http_error.h"
+#include "limpethatch/connection/relay_outcome.h"
 #include "limpethatch/connection/request_content.h"
 #include "limpethatch/process/log.h"
-#include "limpethatch/request/live_attempts.h"
 #include "limpethatch/request/route_table.h"
 #include "platform/call_codec.h"
+#include "programs/gateway/live_attempt.h"
 
 namespace limpethatch {
 namespace {
 
-// Maximum size of the body of an answer.
-constexpr size_t kMaxAnswerBytes = 8UL * 1024 * 1024;
-// Maximum size of the answers that are being read, all together.
-constexpr size_t kMaxBufferedAnswerBytes = 32UL * 1024 * 1024;
-// A refusal with a longer body is not read to its end, and its connection not
-// reused.
-constexpr size_t kMaxRefusalBytes = 64UL * 1024;
-constexpr int kFirstClientError = 400;
-constexpr int kFirstServerError = 500;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 constexpr int kBadGateway = 502;
 
-// Connections stay within a region; a target that takes longer to connect is
-// down or unreachable.
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
 // Longest time until the disconnect of a caller is noticed.
 constexpr Duration kDisconnectCheckPeriod = std::chrono::milliseconds(100);
 // The final answer is sent this long before the time limit, so that it arrives
@@ -47,65 +35,24 @@
 constexpr int kPermitWaitDivisor = 2;
 // A second target is tried after the route's target latency divided by this.
 constexpr int kHedgeDivisor = 2;
-
-// One attempt at one target.
-struct Attempt {
-  std::string target;
-  std::shared_ptr<HttpCancelToken> cancel = std::make_shared<HttpCancelToken>();
-};
-
-// Counts the bytes of one answer towards a total while the answer is read.
-class BufferedBytes {
- public:
-  explicit BufferedBytes(size_t& total) : total_(total) {}
-  ~BufferedBytes() { total_ -= own_; }
-  BufferedBytes(const BufferedBytes&) = delete;
-  BufferedBytes& operator=(const BufferedBytes&) = delete;
-
-  void Add(size_t bytes) {
-    own_ += bytes;
-    total_ += bytes;
-  }
-
- private:
-  size_t& total_;
-  size_t own_ = 0;
-};
-
-// An answer that may be returned to the caller, and the target's id.
-struct TargetAnswer {
-  HttpResponse response;
-  std::string target;
-};
-
-// State of a request. It is shared with the coroutines of its attempts, which
-// may outlive the coroutine of the request.
-struct CallState {
-  explicit CallState(const boost::asio::any_io_executor& executor)
-      : wake_timer(executor) {}
-
-  boost::asio::steady_timer wake_timer;
-  std::string content;  // Digest of the request's content.
-  bool finished = false;
-  bool is_stream = false;
-  std::vector<Attempt> attempts;
-  std::optional<LiveAttempts> attempt_policy;
-  std::optional<TargetAnswer> answer;
-  // A 5xx answer, returned if no attempt succeeds.
-  std::optional<TargetAnswer> target_failure;
-};
+// Other gateways to which one request is handed.
+constexpr size_t kMaxRelays = 3;
 
 class LiveCall : public std::enable_shared_from_this<LiveCall> {
  public:
   LiveCall(LiveCallContext& context,
            HttpExchange& exchange,
-           const wire::Route& route)
+           const wire::Route& route,
+           LiveCallOrigin origin)
       : context_(context),
         exchange_(exchange),
         route_(route),
+        origin_(origin),
         caller_headers_(platform::DecodeCallerHeaders(exchange.request())),
         started_at_(Clock::now()),
-        state_(std::make_shared<CallState>(exchange.yield().get_executor())) {
+        state_(
+            std::make_shared<LiveCallState>(exchange.yield().get_executor())) {
+    state_->attempt_id = caller_headers_.attempt_id;
     const Duration timeout =
         std::min<Duration>(caller_headers_.timeout.value_or(kDefaultTimeout),
                            std::chrono::milliseconds(route.timeout_ms()));
@@ -115,12 +62,15 @@
         route.kind() == wire::ROUTE_STREAM && caller_headers_.resumes_stream;
     LiveAttemptsOptions options;
     options.idempotent = route.kind() == wire::ROUTE_IDEMPOTENT;
-    options.max_attempts = std::max<uint32_t>(route.max_attempts(), 1);
+    options.max_attempts = origin == LiveCallOrigin::kGateway
+                               ? 1
+                               : std::max<uint32_t>(route.max_attempts(), 1);
     options.deadline = deadline_;
     if (route.target_latency_ms() > 0) {
       options.hedge_after =
           std::chrono::milliseconds(route.target_latency_ms()) / kHedgeDivisor;
     }
+    state_->hedge_after = options.hedge_after;
     state_->attempt_policy.emplace(options);
     state_->content = ContentDigestOf(exchange.request());
     state_->is_stream = route.kind() == wire::ROUTE_STREAM;
@@ -154,15 +104,19 @@
         }
         continue;
       }
-      const RoutedTargetPtr target = is_refused_ ? nullptr : ChooseTarget(now);
-      const LiveAction action =
-          state_->attempt_policy->Next(target != nullptr, now);
+      const std::optional<Endpoint> relay = ChooseRelay(now);
+      const RoutedTargetPtr target =
+          MaySendDirectly() ? ChooseTarget(now) : nullptr;
+      const LiveAction action = state_->attempt_policy->Next(
+          target != nullptr || relay.has_value(), now);
       if (action.kind == LiveAction::Kind::kGiveUp) {
         RespondWithFailure(now);
         return;
       }
       if (action.kind == LiveAction::Kind::kWait) {
         WaitUntil(action.until, now);
+      } else if (relay) {
+        StartRelayedAttempt(*relay, now);
       } else if (context_.permits.IsLimited(target->target, now)) {
         RequestPermit(target, now);
       } else {
@@ -206,7 +160,7 @@
 
   RoutedTargetPtr ChooseTarget(TimePoint now) {
     std::vector<std::string> tried = rate_limited_;
-    for (const Attempt& attempt : state_->attempts) {
+    for (const LiveAttempt& attempt : state_->attempts) {
       tried.push_back(attempt.target);
     }
     if (must_resume_) {
@@ -226,162 +180,69 @@
     return context_.router.Choose(context_.targets, request);
   }
 
-  void StartAttempt(const RoutedTarget& target, TimePoint now) {
-    context_.metrics.CountTargetCall();
+  // A request from another gateway goes back there at once if this one reaches
+  // no target either.
+  bool MaySendDirectly() const {
+    return !is_refused_ && (origin_ == LiveCallOrigin::kCaller ||
+                            !context_.reach.IsUnreachable(service_));
+  }
+
+  // Another gateway to hand the request to, if this one cannot reach targets,
+  // or an attempt has failed and there is no sign that it can. A request is
+  // handed on once only.
+  std::optional<Endpoint> ChooseRelay(TimePoint now) const {
+    const bool is_cut_off =
+        context_.reach.IsUnreachable(service_) ||
+        (!state_->attempts.empty() && context_.reach.IsInDoubt(service_, now));
+    if (origin_ == LiveCallOrigin::kGateway || is_refused_ || !is_cut_off ||
+        relays_tried_.size() >= kMaxRelays) {
+      return std::nullopt;
+    }
+    return context_.relays.Choose(service_, relays_tried_, context_.random(),
+                                  now);
+  }
+
+  HttpCallOptions BeginAttempt(const std::string& target, TimePoint now) {
     if (state_->attempt_policy->open() > 0) {
       context_.metrics.CountHedge();
     }
     state_->attempt_policy->Sent(now);
-    const Attempt& attempt =
-        state_->attempts.emplace_back(Attempt{target.target.id, {}});
-    state_->attempts.back().cancel = std::make_shared<HttpCancelToken>();
+    state_->attempts.push_back({target});
     HttpCallOptions options;
     options.deadline = deadline_;
-    options.connect_timeout = kConnectTimeout;
     options.progress_timeout = deadline_ - now;
     options.fresh_connection = route_.kind() != wire::ROUTE_IDEMPOTENT;
-    options.max_body_bytes = kMaxAnswerBytes;
-    options.cancel = attempt.cancel;
-    Spawn(context_.io, [state = state_, &context = context_, options, target,
-                        attempt_id = caller_headers_.attempt_id,
-                        request = platform::MakeTargetRequest(
-                            exchange_.request(), target.target.id,
-                            deadline_ - now)](Yield yield) {
-      RunAttempt(yield, *state, context, target, request, options, attempt_id);
-    });
+    options.cancel = state_->attempts.back().cancel;
+    return options;
   }
 
-  // Runs in its own coroutine, concurrently with that of the request.
-  static void RunAttempt(Yield yield,
-                         CallState& state,
-                         LiveCallContext& context,
-                         const RoutedTarget& target,
-                         const HttpRequest& request,
-                         const HttpCallOptions& options,
-                         const std::string& attempt_id) {
-    if (state.finished) {
-      return;
-    }
-    CallTicket ticket(target, RequestClass::kLookup, Clock::now());
-    HttpStreamOutcome outcome =
-        context.client.Open(yield, target.target.address, request, options);
-    std::optional<AttemptResult> result;
-    std::string reason;
-    std::error_code error = outcome.error;  // Of the connection.
-    if (!outcome.stream) {
-      result = outcome.progress == CallProgress::kNotSent
-                   ? AttemptResult::kNotRun
-                   : AttemptResult::kUnknown;
-      reason = outcome.error.message();
-    } else {
-      result = ReadAnswer(yield, state, context, target, *outcome.stream,
-                          attempt_id, &reason, &error);
-    }
-    if (state.finished) {
-      if (!state.answer && error) {
-        context.suspects.OnNoAnswer(state.content, target.target);
-      }
-      return;  // The destructor of the ticket records the call as cancelled.
-    }
-    ticket.Finish(result ? CallOutcome::kFailed : CallOutcome::kAnswered,
-                  Clock::now());
-    if (result == AttemptResult::kUnknown) {
-      if (error == HttpError::kConnectionLost) {
-        context.suspects.OnConnectionLost(state.content, target.target);
-      } else if (error) {
-        context.suspects.OnNoAnswer(state.content, target.target);
-      }
-    }
-    if (result) {
-      state.attempt_policy->Ended(*result);
-      Log(LogLevel::kInfo, "attempt_failed",
-          {{"request", attempt_id},
-           {"content", state.content},
-           {"target", target.target.id},
-           {"incarnation", target.target.incarnation},
-           {"ran",
-            *result == AttemptResult::kNotRun ? "not_run" : "may_have_run"},
-           {"reason", reason}});
-    }
-    state.wake_timer.cancel();
+  void StartAttempt(const RoutedTarget& target, TimePoint now) {
+    context_.metrics.CountTargetCall();
+    RunTargetAttempt(
+        context_, state_, target,
+        platform::MakeTargetRequest(exchange_.request(), target.target.id,
+                                    deadline_ - now),
+        BeginAttempt(target.target.id, now));
   }
 
-  // Reads the answer of a target into `state`. Returns nullopt if it can be
-  // returned to the caller, otherwise how the attempt failed, with the reason
-  // in `reason` and the error of the connection, if it has one, in `error`.
-  static std::optional<AttemptResult> ReadAnswer(Yield yield,
-                                                 CallState& state,
-                                                 LiveCallContext& context,
-                                                 const RoutedTarget& target,
-                                                 HttpStream& stream,
-                                                 const std::string& attempt_id,
-                                                 std::string* reason,
-                                                 std::error_code* error) {
-    const platform::TargetAnswerHeaders answer_headers =
-        platform::DecodeTargetAnswerHeaders(stream.status(), stream.headers(),
-                                            attempt_id);
-    if (!answer_headers.misdirected) {
-      context.permits.OnAnswer(target.target, answer_headers.rate_limit);
-    }
-    if (answer_headers.not_run) {
-      *reason = answer_headers.misdirected ? "misdirected" : "refused";
-      // Reads the rest of the answer, so that the connection can be reused.
-      for (size_t bytes = 0; bytes <= kMaxRefusalBytes;) {
-        const Result<std::string> chunk = stream.Read(yield);
-        if (!chunk || chunk.value().empty()) {
-          break;
-        }
-        bytes += chunk.value().size();
-      }
-      return AttemptResult::kNotRun;
-    }
-    if (!answer_headers.matches_request) {
-      *reason = "answer_of_another_request";
-      return AttemptResult::kUnknown;
-    }
-    if (state.is_stream) {
-      context.streams.OnBegun(attempt_id, target.target.software_version);
-    }
-    TargetAnswer target_answer;
-    target_answer.target = target.target.id;
-    target_answer.response.status = stream.status();
-    target_answer.response.headers =
-        platform::FilterAnswerHeaders(stream.headers());
-    BufferedBytes buffered(context.buffered_answer_bytes);
-    while (true) {
-      Result<std::string> chunk = stream.Read(yield);
-      if (!chunk) {
-        *error = chunk.error();
-        *reason = error->message();
-        return AttemptResult::kUnknown;
-      }
-      if (chunk.value().empty()) {
-        break;
-      }
-      buffered.Add(chunk.value().size());
-      if (context.buffered_answer_bytes > kMaxBufferedAnswerBytes) {
-        *reason = "too_many_answer_bytes";
-        return AttemptResult::kUnknown;
-      }
-      target_answer.response.body += chunk.value();
-    }
-    if (target_answer.response.status >= kFirstServerError) {
-      *reason = "target_error";
-      state.target_failure = std::move(target_answer);
-      return AttemptResult::kFailed;
-    }
-    if (target_answer.response.status < kFirstClientError &&
-        !answer_headers.is_signed) {
-      *reason = "unsigned_answer";
-      return AttemptResult::kUnknown;
-    }
-    state.answer = std::move(target_answer);
-    return std::nullopt;
+  void StartRelayedAttempt(const Endpoint& relay, TimePoint now) {
+    context_.metrics.CountRelayedCall();
+    relays_tried_.push_back(relay);
+    Log(LogLevel::kInfo, "request_relayed",
+        {{"request", caller_headers_.attempt_id},
+         {"route", route_.name()},
+         {"relay", relay.ToString()},
+         {"unreachable", context_.reach.IsUnreachable(service_)},
+         {"attempts", state_->attempts.size()}});
+    RunRelayedAttempt(
+        context_, state_, relay,
+        platform::MakeRelayedRequest(exchange_.request(), deadline_ - now),
+        BeginAttempt("", now));
   }
 
   void CancelAttempts() {
     state_->finished = true;
-    for (const Attempt& attempt : state_->attempts) {
+    for (const LiveAttempt& attempt : state_->attempts) {
       attempt.cancel->Cancel();
     }
   }
@@ -389,7 +250,7 @@
   void RespondWith(const TargetAnswer& answer) {
     context_.suspects.OnAnswered(state_->content);
     CancelAttempts();
-    exchange_.Respond(answer.response);
+    Respond(answer.response, RelayOutcome::kAnswered);
     const Duration latency = Clock::now() - started_at_;
     context_.metrics.RecordAnswer(route_.name(), answer.response.status,
                                   latency);
@@ -398,6 +259,7 @@
          {"route", route_.name()},
          {"target", answer.target},
          {"status", answer.response.status},
+         {"from_gateway", origin_ == LiveCallOrigin::kGateway},
          {"attempts", state_->attempts.size()},
          {"took_ms",
           std::chrono::duration_cast<std::chrono::milliseconds>(latency)
@@ -426,13 +288,14 @@
          {"service", service_},
          {"reason", reason},
          {"ran", not_run ? "not_run" : "may_have_run"},
+         {"from_gateway", origin_ == LiveCallOrigin::kGateway},
          {"attempts", state_->attempts.size()},
          {"targets", context_.targets.targets().size()},
          {"after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                           now - started_at_)
                           .count()}});
     if (target_failure) {
-      exchange_.Respond(target_failure->response);
+      Respond(target_failure->response, RelayOutcome::kAnswered);
       context_.metrics.RecordAnswer(
           route_.name(), target_failure->response.status, now - started_at_);
       return;
@@ -443,15 +306,25 @@
     const Duration retry_after =
         std::max<Duration>(kRetryAfter, permit_wait_.value_or(kRetryAfter));
     const bool may_return = not_run && !is_refused_;
-    exchange_.Respond(platform::MakeRefusal(
-        status, caller_headers_, reason,
-        may_return ? std::optional<Duration>(retry_after) : std::nullopt));
+    Respond(
+        platform::MakeRefusal(
+            status, caller_headers_, reason,
+            may_return ? std::optional<Duration>(retry_after) : std::nullopt),
+        not_run ? RelayOutcome::kNotRun : RelayOutcome::kMayHaveRun);
     context_.metrics.RecordAnswer(route_.name(), status, now - started_at_);
   }
 
+  void Respond(HttpResponse response, RelayOutcome outcome) {
+    if (origin_ == LiveCallOrigin::kGateway) {
+      SetRelayOutcome(outcome, &response);
+    }
+    exchange_.Respond(response);
+  }
+
   LiveCallContext& context_;
   HttpExchange& exchange_;
   const wire::Route& route_;
+  const LiveCallOrigin origin_;
   const platform::CallerHeaders caller_headers_;
   const TimePoint started_at_;
   TimePoint deadline_;
@@ -465,17 +338,19 @@
   std::optional<PermittedTarget> permitted_;
   // Targets with a rate limit for which a permit was requested.
   std::vector<std::string> rate_limited_;
+  std::vector<Endpoint> relays_tried_;
   // The shortest wait of the permits that were denied.
   std::optional<Duration> permit_wait_;
-  std::shared_ptr<CallState> state_;
+  std::shared_ptr<LiveCallState> state_;
 };
 
 }  // namespace
 
 void ServeLiveCall(LiveCallContext& context,
                    HttpExchange& exchange,
-                   const wire::Route& route) {
-  LiveCall(context, exchange, route).Serve();
+                   const wire::Route& route,
+                   LiveCallOrigin origin) {
+  LiveCall(context, exchange, route, origin).Serve();
 }
 
 }  // namespace limpethatch
--- /dev/null
+++ b/src/programs/gateway/live_call_context.h
@@ -0,0 +1,39 @@
+// What the live calls of a gateway share.
+#ifndef LIMPETHATCH_PROGRAMS_GATEWAY_LIVE_CALL_CONTEXT_H_
+#define LIMPETHATCH_PROGRAMS_GATEWAY_LIVE_CALL_CONTEXT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <random>
+
+#include "limpethatch/connection/http_client.h"
+#include "limpethatch/request/router.h"
+#include "programs/gateway/gateway_metrics.h"
+#include "programs/gateway/relay_choice.h"
+#include "programs/gateway/service_reach.h"
+#include "programs/gateway/stream_directory.h"
+#include "programs/gateway/suspect_requests.h"
+#include "programs/gateway/target_permits.h"
+
+namespace limpethatch {
+
+// State that all live calls of the process share. Not synchronised.
+struct LiveCallContext {
+  boost::asio::io_context& io;
+  HttpClient& client;
+  const TargetTable& targets;
+  const Router& router;
+  std::mt19937_64& random;
+  GatewayMetrics& metrics;
+  TargetPermits& permits;
+  StreamDirectory& streams;
+  SuspectRequests& suspects;
+  ServiceReach& reach;
+  RelayChoice& relays;
+  // Of the bodies of answers that are being read.
+  size_t buffered_answer_bytes = 0;
+};
+
+}  // namespace limpethatch
+
+#endif  // LIMPETHATCH_PROGRAMS_GATEWAY_LIVE_CALL_CONTEXT_H_
--- a/tests/control/fleet_fixture.h
+++ b/tests/control/fleet_fixture.h
@@ -192,6 +192,7 @@
     settings_.process.zone = "z";
     settings_.callers = FreeEndpoint();
     settings_.readiness = FreeEndpoint();
+    settings_.relay = FreeEndpoint();
     settings_.metrics = FreeEndpoint();
     // Control instances are reached at the gateway's own port.
     settings_.peers = {host, control[0].port};
--- a/tests/gateway/fleet_subscriber_test.cc
+++ b/tests/gateway/fleet_subscriber_test.cc
@@ -64,7 +64,7 @@
       timers,
       messenger,
       settings,
-      {[](auto&) {}, [](auto&) {}, [](auto&) {}, [](auto&) {}}};
+      {[](auto&) {}, [](auto&) {}, [](auto&) {}, [](auto&) {}, [](auto&) {}}};
 };
 
 }  // namespace
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -90,6 +90,11 @@
     target.set_born_ms(1);
     target.set_software_version(software_version);
   }
+  void AddRelay(const Endpoint& address) {
+    wire::RelayGateway& relay = *news_.mutable_relays()->add_gateways();
+    relay.set_address(address.ToString());
+    relay.set_zone("z");
+  }
   // Call it only while no gateway runs.
   void MarkGone(const std::string& id) {
     for (wire::TargetRecord& target : *news_.mutable_targets()) {
@@ -174,6 +179,16 @@
     stream.set_path_prefix("/s/");
     stream.set_kind(wire::ROUTE_STREAM);
     stream.set_resumable(true);
+    wire::Route& order = *configuration.add_routes();
+    order = route;
+    order.set_name("order");
+    order.set_path_prefix("/o/");
+    order.set_kind(wire::ROUTE_NON_IDEMPOTENT);
+    wire::Route& slow = *configuration.add_routes();
+    slow = route;
+    slow.set_name("slow");
+    slow.set_path_prefix("/slow/");
+    slow.set_timeout_ms(600'000);
     configuration.mutable_limits()->set_max_header_bytes(2048);
     configuration.mutable_limits()->set_max_body_bytes(100);
     Endpoint to;
@@ -237,6 +252,7 @@
     settings.callers = FreeEndpoint();
     settings.readiness = FreeEndpoint();
     settings.peers = FreeEndpoint();
+    settings.relay = FreeEndpoint();
     settings.metrics = FreeEndpoint();
     // Only the host of a seed is used. The control instance listens on the
     // gateway's own port at another loopback address.
@@ -528,6 +544,7 @@
       settings.peers.host = "127.0.0." + std::to_string(11 + i);
       settings.callers = FreeEndpoint();
       settings.readiness = FreeEndpoint();
+      settings.relay = FreeEndpoint();
       settings.metrics = FreeEndpoint();
     }
   }
@@ -712,4 +729,127 @@
   }
 }
 
+namespace {
+
+// Two gateways. Control tells the first one addresses of the targets at which
+// nothing listens, as if it were cut off from them, and the second one theirs.
+class CutOffFixture {
+ public:
+  explicit CutOffFixture(const Endpoint& target) {
+    for (const char* id : {"i-1", "i-2"}) {
+      cut_off.control->AddTarget(id, FreeEndpoint());
+      other.control->AddTarget(id, target);
+    }
+    cut_off.control->AddRelay(other.settings.relay);
+    other.control->AddRelay(cut_off.settings.relay);
+  }
+  void Start() {
+    for (GatewayFixture* side : {&cut_off, &other}) {
+      side->control->Start();
+      side->Start();
+      cr_assert(side->WaitUntilReady(true));
+    }
+  }
+  // The value of a counter of the gateway that is not cut off.
+  std::string CallsForGateways() const {
+    const std::string text = Exchange(
+        other.settings.metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+    const std::string name = "\nlimpethatch_calls_for_gateways_total ";
+    const size_t start = text.find(name) + name.size();
+    return text.substr(start, text.find('\n', start) - start);
+  }
+
+  GatewayFixture cut_off;
+  GatewayFixture other;
+};
+
+}  // namespace
+
+// Callers of gateways that could reach no target were refused, while other
+// gateways could reach them.
+Test(gateway, one_that_reaches_no_target_hands_requests_to_another) {
+  FakeTarget target([](const HttpRequest& request) {
+    return SignedAnswer(request, kAttemptId);
+  });
+  CutOffFixture fixture(target.endpoint());
+  fixture.Start();
+  for (const char* path : {"/l/x", "/o/x", "/l/y"}) {
+    const std::string answer = fixture.cut_off.Call(Post(path));
+    cr_assert(StatusOf(answer) == "200", "%s", answer.c_str());
+    cr_assert(answer.find("Server-Stamp: stamp") != std::string::npos);
+    cr_assert(answer.find(" body") != std::string::npos);
+    cr_assert(answer.find("Relay-") == std::string::npos, "%s", answer.c_str());
+  }
+  cr_assert_eq(target.calls, 3, "%d runs of 3 requests", target.calls.load());
+}
+
+// Guards against a second run of what must run once, and against a loop: a
+// relay whose target fails does not hand the request on.
+Test(gateway, a_relayed_request_that_may_have_run_is_not_repeated) {
+  FakeTarget target([](const HttpRequest& request) {
+    return SignedAnswer(request, "another");
+  });
+  CutOffFixture fixture(target.endpoint());
+  fixture.Start();
+  const std::string answer = fixture.cut_off.Call(Post("/o/x"));
+  cr_assert(StatusOf(answer) == "502", "%s", answer.c_str());
+  cr_assert(answer.find("Relay-") == std::string::npos);
+  cr_assert_eq(target.calls, 1);
+}
+
+Test(gateway, two_that_reach_no_target_refuse_instead_of_handing_on_for_ever) {
+  CutOffFixture fixture(FreeEndpoint());
+  fixture.Start();
+  for (int i = 0; i < 3; ++i) {
+    const std::string answer = fixture.cut_off.Call(Post("/o/x"));
+    cr_assert(StatusOf(answer) == "503", "%s", answer.c_str());
+    cr_assert(answer.find("Retry-After") != std::string::npos);
+  }
+  cr_assert(fixture.CallsForGateways() <= "3", "%s",
+            fixture.CallsForGateways().c_str());
+}
+
+// Guards against asking other gateways because of one target that is down.
+Test(gateway, a_target_that_is_down_does_not_send_requests_to_other_gateways) {
+  FakeTarget target([](const HttpRequest& request) {
+    return SignedAnswer(request, kAttemptId);
+  });
+  CutOffFixture fixture(target.endpoint());
+  fixture.cut_off.control->AddTarget("i-3", target.endpoint());
+  fixture.Start();
+  for (int i = 0; i < 40; ++i) {
+    cr_assert(StatusOf(fixture.cut_off.Call(Post("/l/x"))) == "200");
+  }
+  cr_assert(fixture.CallsForGateways().size() == 1, "%s calls for 40 requests",
+            fixture.CallsForGateways().c_str());
+}
+
+// Guards against work that goes on after its caller has left.
+Test(gateway, a_relayed_request_is_cancelled_with_its_caller) {
+  using boost::asio::ip::tcp;
+  boost::asio::io_context io;
+  const Endpoint endpoint = FreeEndpoint();
+  tcp::acceptor acceptor(
+      io, {boost::asio::ip::make_address_v4(endpoint.host), endpoint.port});
+  CutOffFixture fixture(endpoint);
+  fixture.Start();
+  tcp::socket caller(io);
+  caller.connect(
+      {boost::asio::ip::make_address_v4(fixture.cut_off.settings.callers.host),
+       fixture.cut_off.settings.callers.port});
+  const std::string request =
+      "POST /slow/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Attempt-Id: a\r\n"
+      "Deadline-Ms: 600000\r\nContent-Length: 4\r\n\r\nbody";
+  boost::asio::write(caller, boost::asio::buffer(request));
+  tcp::socket target(io);
+  acceptor.accept(target);
+  caller.close();
+  // Ends when the relay closes its connection, long before the deadline.
+  boost::system::error_code error;
+  std::string received(64UL * 1024, '\0');
+  boost::asio::read(target, boost::asio::buffer(received), error);
+  cr_assert(error == boost::asio::error::eof ||
+            error == boost::asio::error::connection_reset);
+}
+
 }  // namespace limpethatch
