Stop using a target that says in an answer that it is leaving

Cause: the field was passed on to callers and not read; what a gateway or the leader used followed announcements only, which a machine out of touch does not hear of.

The field is decoded for every kind of answer: live requests, also through another gateway, samples, orders and status queries. A gateway stops using the incarnation at once, keeps to that whatever announcements come later, and tells control; the registry marks it as draining, which peers take although its sequence number is one that they have.

--- a/src/limpethatch/process/target_registry.cc
+++ b/src/limpethatch/process/target_registry.cc
@@ -59,7 +59,10 @@
       return MarkChanged(entry);
     }
     if (record.sequence() <= known.sequence()) {
-      return TargetChange::kStale;
+      // That a target drains may be known from an answer, which does not count
+      // as an announcement.
+      return record.draining() ? MarkDraining(record.id(), record.born_ms())
+                               : TargetChange::kStale;
     }
   }
   wire::TargetRecord next = record;
@@ -76,6 +79,17 @@
   return same_routing ? TargetChange::kRefreshed : MarkChanged(entry);
 }
 
+TargetChange TargetRegistry::MarkDraining(std::string_view id,
+                                          uint64_t born_ms) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || found->second.record.born_ms() != born_ms ||
+      found->second.record.gone() || found->second.record.draining()) {
+    return TargetChange::kStale;
+  }
+  found->second.record.set_draining(true);
+  return MarkChanged(found->second);
+}
+
 TargetChange TargetRegistry::Leave(std::string_view id,
                                    std::optional<uint64_t> born_ms,
                                    TimePoint now) {
--- a/src/limpethatch/process/target_registry.h
+++ b/src/limpethatch/process/target_registry.h
@@ -50,6 +50,8 @@
   TargetChange Leave(std::string_view id,
                      std::optional<uint64_t> born_ms,
                      TimePoint now);
+  // Marks a target as draining that said so in an answer.
+  TargetChange MarkDraining(std::string_view id, uint64_t born_ms);
   // Marks timed-out targets as gone and removes expired tombstones.
   void Expire(TimePoint now);
 
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -103,6 +103,9 @@
                              std::optional<double> rate_limit) {
                         ObserveRateLimit(engine, incarnation, rate_limit);
                       },
+                      [this](const std::string& engine, uint64_t incarnation) {
+                        OnTargetLeaving(engine, incarnation);
+                      },
                       [this](const UnfinishedRun& run, bool connection_lost) {
                         if (connection_lost) {
                           crash_detector_.OnConnectionLost(run);
@@ -110,11 +113,15 @@
                           crash_detector_.OnNoAnswer(run);
                         }
                       }}),
-      weight_order_client_(io,
-                           settings.process.id,
-                           scheduler_.engine_table(),
-                           rollout_,
-                           [this] { return OrderTerm(); }) {}
+      weight_order_client_(
+          io,
+          settings.process.id,
+          scheduler_.engine_table(),
+          rollout_,
+          [this] { return OrderTerm(); },
+          [this](const std::string& engine, uint64_t incarnation) {
+            OnTargetLeaving(engine, incarnation);
+          }) {}
 
 std::error_code FleetService::Start() {
   LoadTargets();
@@ -243,7 +250,7 @@
   if (!request.has_configuration() && !request.has_job() &&
       !request.has_job_body() && !request.has_target_rate() &&
       !request.has_target_permit() && !request.has_stream_begun() &&
-      !request.has_stream_origin()) {
+      !request.has_stream_origin() && !request.has_target_leaving()) {
     return false;
   }
   if (!replica_.consensus() || !replica_.consensus()->leading()) {
@@ -260,6 +267,10 @@
     RecordStreamOrigin(request);
   } else if (request.has_stream_origin()) {
     AnswerStreamOriginQuery(request);
+  } else if (request.has_target_leaving()) {
+    OnTargetLeaving(request.target_leaving().target(),
+                    request.target_leaving().incarnation());
+    SendReply(request, {});
   } else {
     AnswerJobBodyQuery(request);
   }
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -138,6 +138,10 @@
   // Applies an announcement that was made at `last_contact_at`. Returns true if
   // it changed the target.
   bool MergeTarget(const wire::TargetRecord& target, TimePoint last_contact_at);
+  // A target said in an answer, here or at a gateway, that it is leaving.
+  void OnTargetLeaving(const std::string& id, uint64_t incarnation);
+  // Applies the records that changed after `revision` of targets_.
+  void OnTargetsChanged(uint64_t revision, TimePoint now);
   void Receive(const wire::Watch& watch);
   void ScheduleNewsPush();
   void PushNews();
--- a/src/programs/control/fleet_targets.cc
+++ b/src/programs/control/fleet_targets.cc
@@ -67,20 +67,7 @@
   crash_detector_.OnAnnounced(target);
   const TimePoint now = Clock::now();
   if (targets_.revision() != before) {
-    ScheduleTargetSave();
-    for (const wire::TargetRecord& record :
-         targets_.ChangedSince(before, now)) {
-      scheduler_.engine_table().Announce(record);
-      Log(LogLevel::kInfo, "target_changed",
-          {{"target", record.id()},
-           {"service", record.service()},
-           {"address", record.address()},
-           {"incarnation", record.born_ms()},
-           {"software_version", record.software_version()},
-           {"sequence", record.sequence()},
-           {"draining", record.draining()},
-           {"gone", record.gone()}});
-    }
+    OnTargetsChanged(before, now);
   } else {
     scheduler_.engine_table().Announce(
         targets_.entries().at(target.id()).record);
@@ -89,6 +76,41 @@
   return change == TargetChange::kChanged;
 }
 
+void FleetService::OnTargetsChanged(uint64_t revision, TimePoint now) {
+  ScheduleTargetSave();
+  for (const wire::TargetRecord& record :
+       targets_.ChangedSince(revision, now)) {
+    scheduler_.engine_table().Announce(record);
+    Log(LogLevel::kInfo, "target_changed",
+        {{"target", record.id()},
+         {"service", record.service()},
+         {"address", record.address()},
+         {"incarnation", record.born_ms()},
+         {"software_version", record.software_version()},
+         {"sequence", record.sequence()},
+         {"draining", record.draining()},
+         {"gone", record.gone()}});
+  }
+}
+
+void FleetService::OnTargetLeaving(const std::string& id,
+                                   uint64_t incarnation) {
+  const uint64_t before = targets_.revision();
+  if (targets_.MarkDraining(id, incarnation) != TargetChange::kChanged) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  Log(LogLevel::kInfo, "target_said_it_leaves",
+      {{"target", id}, {"incarnation", incarnation}});
+  OnTargetsChanged(before, now);
+  wire::ControlDigest digest = MakeDigest(now);
+  *digest.add_targets() =
+      TargetRegistry::WithAge(targets_.entries().at(id), now);
+  Broadcast(digest);
+  ScheduleNewsPush();
+  ScheduleLeaderTasks();
+}
+
 bool FleetService::KnowsService(std::string_view service) const {
   const wire::FleetConfiguration& configuration = ledger().configuration();
   return configuration.version() == 0 ||
--- a/src/programs/control/sample_runner.cc
+++ b/src/programs/control/sample_runner.cc
@@ -209,6 +209,9 @@
   const platform::SampleHead head = platform::DecodeSampleHead(
       outcome.stream->status(), outcome.stream->headers(), run->sample.id());
   listener_.on_answer(run->start.engine, run->incarnation, head.rate_limit);
+  if (head.leaving) {
+    listener_.on_leaving(run->start.engine, run->incarnation);
+  }
   if (head.answer != platform::SampleAnswer::kStream) {
     return HandleRefusal(run, head);
   }
--- a/src/programs/control/sample_runner.h
+++ b/src/programs/control/sample_runner.h
@@ -35,6 +35,9 @@
                        uint64_t incarnation,
                        std::optional<double> rate_limit)>
         on_answer;
+    // An engine said in an answer that it is leaving.
+    std::function<void(const std::string& engine, uint64_t incarnation)>
+        on_leaving;
     // A run ended without a complete answer, after the sample was sent.
     std::function<void(const UnfinishedRun& run, bool connection_lost)>
         on_unfinished;
--- a/src/programs/control/weight_order_client.cc
+++ b/src/programs/control/weight_order_client.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "limpethatch/process/log.h"
+#include "platform/call_codec.h"
 #include "platform/engine_codec.h"
 
 namespace limpethatch {
@@ -37,12 +38,14 @@
                                      std::string holder,
                                      EngineTable& engine_table,
                                      WeightRollout& rollout,
-                                     GetOrderTerm get_order_term)
+                                     GetOrderTerm get_order_term,
+                                     OnLeaving on_leaving)
     : io_(io),
       holder_(std::move(holder)),
       engine_table_(engine_table),
       rollout_(rollout),
       get_order_term_(std::move(get_order_term)),
+      on_leaving_(std::move(on_leaving)),
       client_(io, HttpClientOptions{}) {}
 
 void WeightOrderClient::OrderLoad(const WeightLoad& load, bool finish_runs) {
@@ -51,6 +54,14 @@
   });
 }
 
+void WeightOrderClient::CheckLeaving(const std::string& engine,
+                                     uint64_t incarnation,
+                                     const HttpResponse& response) {
+  if (platform::SaysLeaving(response.status, response.headers)) {
+    on_leaving_(engine, incarnation);
+  }
+}
+
 bool WeightOrderClient::FetchOrderCount(Yield yield, const WeightLoad& load) {
   const EngineState* engine = engine_table_.Find(load.engine);
   if (!engine) {
@@ -68,6 +79,7 @@
   const HttpOutcome outcome =
       client_.Call(yield, Endpoint(engine->address),
                    platform::EncodeStatusQuery(load.engine), options);
+  CheckLeaving(load.engine, born_ms, outcome.response);
   const auto status = outcome.progress == CallProgress::kAnswered
                           ? platform::DecodeEngineStatus(outcome.response)
                           : std::nullopt;
@@ -94,6 +106,7 @@
     rollout_.OnNotAccepted(load, engine_table_, Clock::now());
     return;
   }
+  const uint64_t born_ms = engine->born_ms;
   const uint64_t order_count = order_counts_[load.engine].orders;
   const platform::WeightOrder order{load.model, load.version, finish_runs,
                                     holder_,    term,         order_count};
@@ -104,6 +117,7 @@
   const HttpOutcome outcome =
       client_.Call(yield, Endpoint(engine->address),
                    platform::EncodeWeightOrder(order, load.engine), options);
+  CheckLeaving(load.engine, born_ms, outcome.response);
   const TimePoint now = Clock::now();
   if (outcome.progress != CallProgress::kAnswered) {
     ++lost_;
--- a/src/programs/control/weight_order_client.h
+++ b/src/programs/control/weight_order_client.h
@@ -17,12 +17,16 @@
  public:
   // Returns the leader's term if this process may issue orders now, else 0.
   using GetOrderTerm = std::function<uint64_t()>;
+  // Called when an engine says in an answer that it is leaving.
+  using OnLeaving =
+      std::function<void(const std::string& engine, uint64_t incarnation)>;
 
   WeightOrderClient(boost::asio::io_context& io,
                     std::string holder,
                     EngineTable& engine_table,
                     WeightRollout& rollout,
-                    GetOrderTerm get_order_term);
+                    GetOrderTerm get_order_term,
+                    OnLeaving on_leaving);
 
   // Starts to send an order; its result is passed to the rollout.
   void OrderLoad(const WeightLoad& load, bool finish_runs);
@@ -39,6 +43,10 @@
   };
 
   void SendOrder(Yield yield, const WeightLoad& load, bool finish_runs);
+  // Reads from an answer whether the engine is leaving.
+  void CheckLeaving(const std::string& engine,
+                    uint64_t incarnation,
+                    const HttpResponse& response);
   // Queries how many orders the engine has accepted, unless that is known.
   // Returns false if the engine is gone or did not answer.
   bool FetchOrderCount(Yield yield, const WeightLoad& load);
@@ -48,6 +56,7 @@
   EngineTable& engine_table_;
   WeightRollout& rollout_;
   GetOrderTerm get_order_term_;
+  OnLeaving on_leaving_;
   HttpClient client_;
   std::map<std::string, OrderCount> order_counts_;  // By engine.
   // An engine refused this term as older than a later leader's, so that no more
--- a/src/programs/gateway/fleet_subscriber.cc
+++ b/src/programs/gateway/fleet_subscriber.cc
@@ -274,6 +274,9 @@
   revision_ = news.revision();
   bool changed = false;
   for (const wire::TargetRecord& target : news.targets()) {
+    if (target.draining()) {
+      changed |= MarkLeavingRecord(target.id(), target.born_ms());
+    }
     wire::TargetRecord& known = target_records_[target.id()];
     if (known.born_ms() > target.born_ms() ||
         (known.born_ms() == target.born_ms() &&
@@ -292,6 +295,25 @@
   }
 }
 
+bool FleetSubscriber::MarkLeavingRecord(const std::string& target,
+                                        uint64_t incarnation) {
+  const auto [known, added] = leaving_.try_emplace(target, incarnation);
+  if (!added && known->second >= incarnation) {
+    return false;
+  }
+  known->second = incarnation;
+  return true;
+}
+
+bool FleetSubscriber::MarkLeaving(const std::string& target,
+                                  uint64_t incarnation) {
+  if (!MarkLeavingRecord(target, incarnation)) {
+    return false;
+  }
+  RebuildTargetTable();
+  return true;
+}
+
 void FleetSubscriber::RebuildTargetTable() {
   std::vector<Target> targets;
   for (const auto& [id, record] : target_records_) {
@@ -305,7 +327,9 @@
     target.slots = std::max<uint32_t>(record.slots(), 1);
     target.incarnation = record.born_ms();
     target.software_version = record.software_version();
-    target.leaving = record.draining();
+    const auto leaving = leaving_.find(id);
+    target.leaving =
+        leaving != leaving_.end() && leaving->second == record.born_ms();
     targets.push_back(std::move(target));
   }
   TargetTable next(std::move(targets), &target_table_);
--- a/src/programs/gateway/fleet_subscriber.h
+++ b/src/programs/gateway/fleet_subscriber.h
@@ -53,6 +53,10 @@
   // Adds a control instance to switch to; one that is known is ignored.
   void AddControlInstance(const Endpoint& control_instance);
 
+  // Treats this incarnation of a target as leaving from now on. Returns true if
+  // that changed something.
+  bool MarkLeaving(const std::string& target, uint64_t incarnation);
+
   // Null before the first configuration.
   const RouteTablePtr& routes() const { return routes_; }
   const TargetTable& targets() const { return target_table_; }
@@ -91,6 +95,8 @@
                   const wire::FleetConfiguration& configuration);
   void ReportFreshness(const wire::FleetNews& news, TimePoint now);
   void ApplyTargets(const wire::FleetNews& news);
+  // As MarkLeaving, without a new target table.
+  bool MarkLeavingRecord(const std::string& target, uint64_t incarnation);
   void RebuildTargetTable();
 
   TimerService& timers_;
@@ -114,6 +120,8 @@
   uint64_t epoch_ = 0;
   uint64_t revision_ = 0;
   std::map<std::string, wire::TargetRecord> target_records_;
+  // Incarnations of targets that are leaving, which is final.
+  std::map<std::string, uint64_t> leaving_;
   TargetTable target_table_;
   RouteTablePtr routes_;
   ConfigurationFreshness freshness_;
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "envelope.pb.h"
-#include "limpethatch/connection/relay_outcome.h"
+#include "limpethatch/connection/relay_result.h"
 #include "limpethatch/process/log.h"
 #include "platform/gateway_api.h"
 
@@ -87,6 +87,7 @@
                            stream_directory_.OnTarget(target);
                            suspect_requests_.OnTarget(target);
                          }}),
+      leaving_targets_(io_, control_client_, fleet_subscriber_),
       suspect_requests_(io_, control_client_, fleet_subscriber_.targets()),
       relay_choice_(settings.process.zone),
       target_client_(
@@ -127,6 +128,7 @@
                          metrics_,
                          target_permits_,
                          stream_directory_,
+                         leaving_targets_,
                          suspect_requests_,
                          service_reach_,
                          relay_choice_},
@@ -248,7 +250,7 @@
       relay_server_.active_requests() > kMaxCallsForGateways) {
     HttpResponse refusal;
     refusal.status = kUnavailable;
-    SetRelayOutcome(RelayOutcome::kNotRun, &refusal);
+    SetRelayResult({.outcome = RelayOutcome::kNotRun}, &refusal);
     exchange.Respond(refusal);
     return;
   }
--- a/src/programs/gateway/gateway.h
+++ b/src/programs/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "programs/gateway/fleet_subscriber.h"
 #include "programs/gateway/gateway_metrics.h"
 #include "programs/gateway/gateway_settings.h"
+#include "programs/gateway/leaving_targets.h"
 #include "programs/gateway/live_call.h"
 #include "programs/gateway/stream_directory.h"
 #include "programs/gateway/suspect_requests.h"
@@ -85,6 +86,7 @@
   TargetPermits target_permits_;
   StreamDirectory stream_directory_;
   FleetSubscriber fleet_subscriber_;
+  LeavingTargets leaving_targets_;
   SuspectRequests suspect_requests_;
   RelayChoice relay_choice_;
   HttpClient target_client_;
--- a/src/programs/gateway/live_attempt.cc
+++ b/src/programs/gateway/live_attempt.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "limpethatch/connection/http_error.h"
-#include "limpethatch/connection/relay_outcome.h"
+#include "limpethatch/connection/relay_result.h"
 #include "limpethatch/process/log.h"
 #include "platform/call_codec.h"
 
@@ -117,6 +117,9 @@
   if (!answer_headers.misdirected) {
     context.permits.OnAnswer(target, answer_headers.rate_limit);
   }
+  if (answer_headers.leaving) {
+    context.leaving.OnLeaving(target.id, target.incarnation);
+  }
   if (answer_headers.not_run) {
     SkipBody(yield, stream);
     return Failure{AttemptResult::kNotRun,
@@ -131,6 +134,7 @@
   }
   TargetAnswer answer;
   answer.target = target.id;
+  answer.incarnation = target.incarnation;
   answer.response.status = stream.status();
   answer.response.headers = platform::FilterAnswerHeaders(stream.headers());
   if (auto failure = ReadBody(yield, context, stream, &answer.response.body)) {
@@ -145,14 +149,19 @@
                                          const Endpoint& relay,
                                          HttpStream& stream) {
   TargetAnswer answer;
-  answer.target = "through " + relay.ToString();
   answer.response.status = stream.status();
   answer.response.headers = platform::FilterAnswerHeaders(stream.headers());
-  const RelayOutcome outcome = TakeRelayOutcome(&answer.response.headers);
+  const RelayResult result = TakeRelayResult(&answer.response.headers);
+  answer.target = result.target;
+  answer.incarnation = result.incarnation;
+  if (result.outcome == RelayOutcome::kAnswered &&
+      platform::SaysLeaving(stream.status(), stream.headers())) {
+    context.leaving.OnLeaving(result.target, result.incarnation);
+  }
   if (auto failure = ReadBody(yield, context, stream, &answer.response.body)) {
     return failure;
   }
-  switch (outcome) {
+  switch (result.outcome) {
     case RelayOutcome::kNotRun:
       context.relays.OnFailure(relay, Clock::now());
       return Failure{AttemptResult::kNotRun, "refused_by_relay", {}};
--- a/src/programs/gateway/live_attempt.h
+++ b/src/programs/gateway/live_attempt.h
@@ -22,10 +22,11 @@
   std::shared_ptr<HttpCancelToken> cancel = std::make_shared<HttpCancelToken>();
 };
 
-// An answer that may be returned to the caller, and the target's id.
+// An answer that may be returned to the caller, and the target that gave it.
 struct TargetAnswer {
   HttpResponse response;
   std::string target;
+  uint64_t incarnation = 0;
 };
 
 // State of a request. It is shared with the coroutines of its attempts, which
--- a/src/programs/gateway/live_call.cc
+++ b/src/programs/gateway/live_call.cc
@@ -6,7 +6,7 @@
 #include <optional>
 #include <utility>
 
-#include "limpethatch/connection/relay_outcome.h"
+#include "limpethatch/connection/relay_result.h"
 #include "limpethatch/connection/request_content.h"
 #include "limpethatch/process/log.h"
 #include "limpethatch/request/route_table.h"
@@ -250,7 +250,7 @@
   void RespondWith(const TargetAnswer& answer) {
     context_.suspects.OnAnswered(state_->content);
     CancelAttempts();
-    Respond(answer.response, RelayOutcome::kAnswered);
+    Respond(answer);
     const Duration latency = Clock::now() - started_at_;
     context_.metrics.RecordAnswer(route_.name(), answer.response.status,
                                   latency);
@@ -295,7 +295,7 @@
                           now - started_at_)
                           .count()}});
     if (target_failure) {
-      Respond(target_failure->response, RelayOutcome::kAnswered);
+      Respond(*target_failure);
       context_.metrics.RecordAnswer(
           route_.name(), target_failure->response.status, now - started_at_);
       return;
@@ -310,13 +310,20 @@
         platform::MakeRefusal(
             status, caller_headers_, reason,
             may_return ? std::optional<Duration>(retry_after) : std::nullopt),
-        not_run ? RelayOutcome::kNotRun : RelayOutcome::kMayHaveRun);
+        {.outcome =
+             not_run ? RelayOutcome::kNotRun : RelayOutcome::kMayHaveRun});
     context_.metrics.RecordAnswer(route_.name(), status, now - started_at_);
   }
 
-  void Respond(HttpResponse response, RelayOutcome outcome) {
+  void Respond(const TargetAnswer& answer) {
+    Respond(answer.response, {.outcome = RelayOutcome::kAnswered,
+                              .target = answer.target,
+                              .incarnation = answer.incarnation});
+  }
+
+  void Respond(HttpResponse response, const RelayResult& result) {
     if (origin_ == LiveCallOrigin::kGateway) {
-      SetRelayOutcome(outcome, &response);
+      SetRelayResult(result, &response);
     }
     exchange_.Respond(response);
   }
--- a/src/programs/gateway/live_call_context.h
+++ b/src/programs/gateway/live_call_context.h
@@ -9,6 +9,7 @@
 #include "limpethatch/connection/http_client.h"
 #include "limpethatch/request/router.h"
 #include "programs/gateway/gateway_metrics.h"
+#include "programs/gateway/leaving_targets.h"
 #include "programs/gateway/relay_choice.h"
 #include "programs/gateway/service_reach.h"
 #include "programs/gateway/stream_directory.h"
@@ -27,6 +28,7 @@
   GatewayMetrics& metrics;
   TargetPermits& permits;
   StreamDirectory& streams;
+  LeavingTargets& leaving;
   SuspectRequests& suspects;
   ServiceReach& reach;
   RelayChoice& relays;
--- a/tests/control/sample_runner_test.cc
+++ b/tests/control/sample_runner_test.cc
@@ -23,7 +23,8 @@
 // and keeps the head of the request.
 class BreakingEngine {
  public:
-  BreakingEngine() : endpoint_(FreeEndpoint()) {
+  explicit BreakingEngine(std::string header = "")
+      : endpoint_(FreeEndpoint()), header_(std::move(header)) {
     acceptor_.open(tcp::v4());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(
@@ -47,13 +48,14 @@
     const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
     const std::string answer =
         "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: sample\r\n"
-        "Server-Stamp: stamp\r\nWeight-Versions: 5\r\n"
-        "Content-Length: " +
-        std::to_string(events.size()) + "\r\n\r\n" + events;
+        "Server-Stamp: stamp\r\nWeight-Versions: 5\r\n" +
+        header_ + "Content-Length: " + std::to_string(events.size()) +
+        "\r\n\r\n" + events;
     boost::asio::write(socket, boost::asio::buffer(answer), ignored);
   }
 
   const Endpoint endpoint_;
+  const std::string header_;
   boost::asio::io_context io_;
   tcp::acceptor acceptor_{io_};
   std::string request_head_;
@@ -95,6 +97,7 @@
     }
   }
 
+  int leaving = 0;  // Engines that said that they are leaving.
   JobLedger jobs;
   std::vector<wire::SamplesAdvance> recorded;
   boost::asio::io_context io;
@@ -107,7 +110,8 @@
                          recorded.push_back(advances);
                          return true;
                        },
-                       [] {}, [](auto&, auto, auto) {}, [](auto&, bool) {}}};
+                       [] {}, [](auto&, auto, auto) {},
+                       [this](auto&, auto) { ++leaving; }, [](auto&, bool) {}}};
 };
 
 }  // namespace
@@ -142,4 +146,15 @@
             std::string::npos);
 }
 
+// Guards against sending further samples to an engine that leaves.
+Test(sample_runner, an_engine_that_says_it_leaves_is_reported) {
+  BreakingEngine staying;
+  BreakingEngine leaving("Server-Leaving: 1\r\n");
+  RunnerFixture fixture;
+  fixture.Run(staying, "i-1", "v1");
+  cr_assert_eq(fixture.leaving, 0);
+  fixture.Run(leaving, "i-2", "v1");
+  cr_assert_eq(fixture.leaving, 1);
+}
+
 }  // namespace limpethatch
--- a/tests/gateway/fleet_subscriber_test.cc
+++ b/tests/gateway/fleet_subscriber_test.cc
@@ -40,6 +40,24 @@
     }
     subscriber.OnFleetNews(news);
   }
+  // Hands over news of one target from the current control instance.
+  void ReceiveTarget(uint64_t born_ms, uint64_t sequence, bool draining) {
+    wire::FleetNews news;
+    news.set_from(CurrentHost() + ":7000");
+    news.set_quorum_contact(true);
+    news.set_epoch(++epoch_);
+    wire::TargetRecord& target = *news.add_targets();
+    target.set_id("i-1");
+    target.set_service("desk");
+    target.set_address("127.0.0.9:80");
+    target.set_born_ms(born_ms);
+    target.set_sequence(sequence);
+    target.set_draining(draining);
+    subscriber.OnFleetNews(news);
+  }
+  bool HasTarget() const {
+    return subscriber.targets().Find("desk") != nullptr;
+  }
   uint64_t version() const {
     return subscriber.routes() ? subscriber.routes()->version() : 0;
   }
@@ -65,6 +83,9 @@
       messenger,
       settings,
       {[](auto&) {}, [](auto&) {}, [](auto&) {}, [](auto&) {}, [](auto&) {}}};
+
+ private:
+  uint64_t epoch_ = 100;
 };
 
 }  // namespace
@@ -146,4 +167,26 @@
   }
 }
 
+// A target that had said in an answer that it was leaving was used again when
+// an announcement from before arrived.
+Test(fleet_subscriber, a_leaving_target_stays_out_until_it_starts_again) {
+  SubscriberFixture fixture;
+  fixture.ReceiveTarget(5, 1, false);
+  cr_assert(fixture.HasTarget());
+  cr_assert(fixture.subscriber.MarkLeaving("i-1", 5));
+  cr_assert_not(fixture.HasTarget());
+  fixture.ReceiveTarget(5, 2, false);
+  cr_assert_not(fixture.HasTarget());
+  fixture.ReceiveTarget(6, 1, false);
+  cr_assert(fixture.HasTarget());
+}
+
+Test(fleet_subscriber, another_instances_news_do_not_end_a_targets_draining) {
+  SubscriberFixture fixture;
+  fixture.ReceiveTarget(5, 2, true);
+  cr_assert_not(fixture.HasTarget());
+  fixture.ReceiveTarget(5, 2, false);
+  cr_assert_not(fixture.HasTarget());
+}
+
 }  // namespace limpethatch
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -111,6 +111,7 @@
   std::atomic<bool> grants_permits{true};
   std::atomic<int> permits_requested{0};
   std::atomic<size_t> streams_recorded{0};
+  std::atomic<int> leaving_reports{0};
 
  private:
   void Answer(const wire::ControlRequest& request) {
@@ -123,6 +124,7 @@
       reply.mutable_target_permit()->set_granted(grants_permits);
       reply.mutable_target_permit()->set_wait_ms(grants_permits ? 0 : 2500);
     }
+    leaving_reports += request.has_target_leaving() ? 1 : 0;
     if (request.has_stream_begun()) {
       stream_origins_[request.stream_begun().attempt()] =
           request.stream_begun().software_version();
@@ -852,4 +854,41 @@
             error == boost::asio::error::connection_reset);
 }
 
+// A target that said in its answers that it was leaving got requests until its
+// announcement arrived, or for ever if an older one came later.
+Test(gateway, a_target_that_says_it_leaves_gets_no_more_requests) {
+  for (const int status : {200, 503, 500, 404}) {
+    FakeTarget leaving_target([status](const HttpRequest& request) {
+      HttpResponse response = SignedAnswer(request, kAttemptId);
+      response.status = status;
+      if (status == 503) {
+        response.headers.Set("Not-Run", "1");
+      }
+      response.headers.Set("Server-Leaving", "1");
+      return response;
+    });
+    FakeTarget staying_target([](const HttpRequest& request) {
+      return SignedAnswer(request, kAttemptId);
+    });
+    GatewayFixture fixture;
+    fixture.control->AddTarget("i-1", leaving_target.endpoint());
+    fixture.control->AddTarget("i-2", staying_target.endpoint());
+    fixture.control->Start();
+    fixture.Start();
+    cr_assert(fixture.WaitUntilReady(true));
+    for (int i = 0; i < 200 && leaving_target.calls == 0; ++i) {
+      fixture.Call(Post("/l/x"));
+    }
+    cr_assert_eq(leaving_target.calls, 1, "status %d", status);
+    // Control goes on to announce it as ready with each answer to a watch.
+    for (int i = 0; i < 40; ++i) {
+      cr_assert(StatusOf(fixture.Call(Post("/l/x"))) == "200");
+      std::this_thread::sleep_for(milliseconds(25));
+    }
+    cr_assert_eq(leaving_target.calls, 1, "status %d: %d calls", status,
+                 leaving_target.calls.load());
+    cr_assert_eq(fixture.control->leaving_reports, 1);
+  }
+}
+
 }  // namespace limpethatch
--- a/tests/process/target_registry_test.cc
+++ b/tests/process/target_registry_test.cc
@@ -53,6 +53,27 @@
   cr_assert(!registry.entries().at("a").record.draining());
 }
 
+// Guards against losing what a target said in an answer: other control
+// instances hear of it with the announcement that they have already.
+Test(target_registry, a_target_that_drains_by_its_answers_stays_so) {
+  TargetRegistry registry;
+  TargetRegistry peer;
+  for (TargetRegistry* each : {&registry, &peer}) {
+    each->Merge(MakeRecord("a", 1, 5), kNow);
+  }
+  cr_assert(registry.MarkDraining("a", 2) == TargetChange::kStale);
+  cr_assert(registry.MarkDraining("a", 1) == TargetChange::kChanged);
+  cr_assert(registry.MarkDraining("a", 1) == TargetChange::kStale);
+  cr_assert(peer.Merge(registry.entries().at("a").record, kNow) ==
+            TargetChange::kChanged);
+  for (TargetRegistry* each : {&registry, &peer}) {
+    each->Merge(MakeRecord("a", 1, 6), kNow);
+    cr_assert(each->entries().at("a").record.draining());
+    each->Merge(MakeRecord("a", 2, 1), kNow);
+    cr_assert(!each->entries().at("a").record.draining());
+  }
+}
+
 Test(target_registry, a_restart_under_the_same_id_restarts_its_sequence) {
   TargetRegistry registry;
   registry.Merge(MakeRecord("a", 1, 900), kNow);
