Refuse announcements with numbers or texts beyond any target's

Nesting, ports and types were refused here already (100,000 levels, six kinds of addresses, now in a test). Accepted were a number of slots that did not fit its field and became another one, a start time or version of any size, which no later incarnation or load could exceed, texts of megabytes, and ids of bytes that are not UTF-8: control instances and gateways could not parse the messages with such a record, so that they followed no target any more. All are refused with their reason now; refusals are counted (limpethatch_announcements_refused_total), and one a second is logged.

--- a/src/limpethatch/connection/fleet_interface.h
+++ b/src/limpethatch/connection/fleet_interface.h
@@ -49,6 +49,9 @@
   // Records what a target announced. Returns false if this control instance is
   // partitioned from the others, which then may not receive the announcement.
   virtual bool Announce(const wire::TargetRecord& target) = 0;
+  // Counts an announcement that was refused because of `problem`.
+  virtual void OnAnnouncementRefused(std::string_view id,
+                                     std::string_view problem) = 0;
   virtual bool Leave(std::string_view id, std::optional<uint64_t> born_ms) = 0;
   virtual ChangeOutcome SetWeightsVersion(Yield yield,
                                           const std::string& model,
--- a/src/programs/control/fleet_metrics.cc
+++ b/src/programs/control/fleet_metrics.cc
@@ -32,6 +32,9 @@
           static_cast<double>(configurations_sent_));
   gauge("limpethatch_targets", "Targets known, tombstones included.",
         static_cast<double>(targets_.entries().size()));
+  counter("limpethatch_announcements_refused_total",
+          "Announcements that name no usable target.",
+          static_cast<double>(announcements_refused_));
   gauge("limpethatch_jobs", "Batch jobs kept.",
         static_cast<double>(ledger().jobs().jobs().size()));
   gauge("limpethatch_samples_running", "Samples at engines.",
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -65,6 +65,8 @@
       Yield yield) override;
   bool KnowsService(std::string_view service) const override;
   bool Announce(const wire::TargetRecord& target) override;
+  void OnAnnouncementRefused(std::string_view id,
+                             std::string_view problem) override;
   bool Leave(std::string_view id, std::optional<uint64_t> born_ms) override;
   ChangeOutcome SetWeightsVersion(Yield yield,
                                   const std::string& model,
@@ -234,6 +236,8 @@
   // Random for each start: revisions of targets_ are comparable only within one
   // epoch.
   const uint64_t epoch_;
+  uint64_t announcements_refused_ = 0;
+  TimePoint refusal_logged_at_;
   // Ids of the targets to include in the next digest.
   std::set<std::string> pending_digest_targets_;
   std::map<std::string, Peer> peers_;        // Other control instances by id.
--- a/src/programs/control/fleet_targets.cc
+++ b/src/programs/control/fleet_targets.cc
@@ -15,6 +15,10 @@
 constexpr const char* kTargetsFile = "targets";
 // Changes of targets within this time are saved together.
 constexpr Duration kSaveDelay = milliseconds(150);
+// Of refused announcements, one in this time is logged, with the start of its
+// id.
+constexpr Duration kRefusalLogPeriod = std::chrono::seconds(1);
+constexpr size_t kMaxLoggedIdBytes = 64;
 // Changes within this time are pushed to gateways together.
 constexpr Duration kPushDelay = milliseconds(2);
 // Configurations are sent in slices of about this size, and at this period:
@@ -133,6 +137,20 @@
   return HasQuorumContact(now);
 }
 
+void FleetService::OnAnnouncementRefused(std::string_view id,
+                                         std::string_view problem) {
+  ++announcements_refused_;
+  const TimePoint now = Clock::now();
+  if (now - refusal_logged_at_ < kRefusalLogPeriod) {
+    return;
+  }
+  refusal_logged_at_ = now;
+  Log(LogLevel::kWarning, "announcement_refused",
+      {{"target", id.substr(0, kMaxLoggedIdBytes)},
+       {"reason", problem},
+       {"refused_so_far", announcements_refused_}});
+}
+
 bool FleetService::Leave(std::string_view id, std::optional<uint64_t> born_ms) {
   const TimePoint now = Clock::now();
   if (targets_.Leave(id, born_ms, now) == TargetChange::kChanged) {
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -100,6 +100,50 @@
   cr_assert(refused("{\"service\"", "\xff{\"service\""));
 }
 
+// An odd entry of another writer ended the processes that read it, or was
+// passed on to some that could not read it.
+Test(target_codec, odd_announcements_are_refused_with_a_reason) {
+  const std::string valid =
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",
+          "slots":12,"state":"ready","born":1770000000000,
+          "models":[{"name":"m","version":3}],"sequence":4})";
+  const auto refused = [&](std::string_view id, std::string_view from,
+                           const std::string& to) {
+    std::string text = valid;
+    text.replace(text.find(from), from.size(), to);
+    wire::TargetRecord target;
+    std::string problem;
+    return !DecodeAnnouncement(id, text, &target, &problem) && !problem.empty();
+  };
+  cr_assert_not(refused("i-1", "\"z\"", "\"zone-2\""));
+  const std::string deep =
+      std::string(100'000, '[') + std::string(100'000, ']');
+  cr_assert(refused("i-1", "\"z\"", deep));
+  cr_assert(refused("i-1", "\"s\"", std::string(100'000, '{')));
+  cr_assert(refused("i-1", "\"slots\"", "\"more\":" + deep + ",\"slots\""));
+  for (const char* number : {"4294967297", "18446744073709551615",
+                             "18446744073709551616", "1e400", "-1", "1e3"}) {
+    cr_assert(refused("i-1", "12,", std::string(number) + ","), "%s", number);
+  }
+  for (const char* number : {"18446744073709551615", "9007199254740993"}) {
+    cr_assert(refused("i-1", "1770000000000", number));
+    cr_assert(refused("i-1", "\"sequence\":4",
+                      "\"sequence\":" + std::string(number)));
+    cr_assert(
+        refused("i-1", "\"version\":3", "\"version\":" + std::string(number)));
+  }
+  for (const char* address :
+       {"10.0.0.9:65536", "10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9:99999999999",
+        "10.0.0.256:80", "10.0.0.9:", "10.0.0.9"}) {
+    cr_assert(refused("i-1", "10.0.0.9:80", address), "%s", address);
+  }
+  cr_assert(refused("i-1", "\"z\"", "\"" + std::string(5000, 'z') + "\""));
+  cr_assert(refused("i-1", "\"z\"", "\"\xc3\x28\""));
+  cr_assert(refused("", "\"z\"", "\"z\""));
+  cr_assert(refused("i-\xff", "\"z\"", "\"z\""));
+  cr_assert(refused(std::string(5000, 'i'), "\"z\"", "\"z\""));
+}
+
 Test(job_codec, a_submission_is_decoded_with_its_lengths) {
   wire::JobSubmit submit;
   std::string problem;
