Take an empty answer without a length for one that was cut

From a further report: a target stopped within its answer's head and closed, and clients got a 200 with an empty or short body, framed as complete.

One that ends right behind a head without a length was passed on as a complete answer without a body: only the end of the connection ends such a body, so a target that fails there cannot be told from one that is done. An empty one now counts as broken off: an idempotent request is tried again, others get 502.

--- a/src/limpethatch/connection/http_client.cc
+++ b/src/limpethatch/connection/http_client.cc
@@ -78,6 +78,9 @@
 
   int status() const override { return reader_->status(); }
   const HttpHeaders& headers() const override { return reader_->headers(); }
+  bool body_has_no_length() const override {
+    return reader_->body_has_no_length();
+  }
   Result<std::string> Read(Yield yield) override {
     return reader_->ReadBody(yield);
   }
--- a/src/limpethatch/connection/http_client.h
+++ b/src/limpethatch/connection/http_client.h
@@ -85,6 +85,9 @@
 
   virtual int status() const = 0;
   virtual const HttpHeaders& headers() const = 0;
+  // Whether only the end of the connection ends the body, so that a peer that
+  // fails may seem to have sent all of it.
+  virtual bool body_has_no_length() const = 0;
   // Returns the next bytes of the body, or an empty string at its end. A
   // truncated body is an error, never an end.
   virtual Result<std::string> Read(Yield yield) = 0;
--- a/src/limpethatch/connection/internal/http_response_reader.cc
+++ b/src/limpethatch/connection/internal/http_response_reader.cc
@@ -43,6 +43,7 @@
   }
   status_ = static_cast<int>(parser_.get().result_int());
   headers_ = DecodeHeaders(parser_.get());
+  body_has_no_length_ = parser_.need_eof() && !parser_.is_done();
   parser_.eager(true);
   return {};
 }
--- a/src/limpethatch/connection/internal/http_response_reader.h
+++ b/src/limpethatch/connection/internal/http_response_reader.h
@@ -25,6 +25,7 @@
   std::error_code ReadHeader(Yield yield);
   int status() const { return status_; }
   const HttpHeaders& headers() const { return headers_; }
+  bool body_has_no_length() const { return body_has_no_length_; }
   // Returns the next bytes of the body, or an empty string at its end.
   Result<std::string> ReadBody(Yield yield);
   // Thread-safe.
@@ -51,6 +52,7 @@
   Parser parser_;
   int status_ = 0;
   HttpHeaders headers_;
+  bool body_has_no_length_ = false;
   size_t bytes_read_ = 0;          // By the last read.
   size_t body_bytes_ = 0;          // Returned so far.
   size_t bytes_without_body_ = 0;  // Read since the body last grew.
--- a/src/programs/gateway/live_attempt.cc
+++ b/src/programs/gateway/live_attempt.cc
@@ -140,6 +140,11 @@
   if (auto failure = ReadBody(yield, context, stream, &answer.response.body)) {
     return failure;
   }
+  if (answer.response.body.empty() && stream.body_has_no_length()) {
+    // The target may have ended behind the head.
+    return ConnectionFailure(HttpError::kConnectionLost,
+                             CallProgress::kMaybeRan);
+  }
   return Accept(state, std::move(answer), answer_headers.is_signed);
 }
 
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -891,4 +891,77 @@
   }
 }
 
+namespace {
+
+// A target that sends `answer` and closes each connection.
+class ClosingTarget {
+ public:
+  explicit ClosingTarget(std::string answer)
+      : endpoint_(FreeEndpoint()),
+        answer_(std::move(answer)),
+        acceptor_(io_, Address()) {
+    thread_ = std::thread([this] {
+      while (!stopping_) {
+        boost::asio::ip::tcp::socket socket(io_);
+        boost::system::error_code error;
+        acceptor_.accept(socket, error);
+        std::string request(4096, '\0');
+        socket.read_some(boost::asio::buffer(request), error);
+        if (!error) {
+          ++calls;
+          boost::asio::write(socket, boost::asio::buffer(answer_), error);
+        }
+      }
+    });
+  }
+  ~ClosingTarget() {
+    stopping_ = true;
+    boost::system::error_code ignored;
+    boost::asio::ip::tcp::socket waker(io_);
+    waker.connect(Address(), ignored);
+    waker.close(ignored);
+    thread_.join();
+  }
+
+  const Endpoint& endpoint() const { return endpoint_; }
+  std::atomic<int> calls{0};
+
+ private:
+  boost::asio::ip::tcp::endpoint Address() const {
+    return {boost::asio::ip::make_address_v4(endpoint_.host), endpoint_.port};
+  }
+
+  const Endpoint endpoint_;
+  const std::string answer_;
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::atomic<bool> stopping_{false};
+  std::thread thread_;
+};
+
+}  // namespace
+
+// Callers got a 200 with an empty or short body, framed as complete, from a
+// target that had ended within its answer.
+Test(gateway, an_answer_that_ends_early_is_a_failure) {
+  const std::string head =
+      std::string("HTTP/1.1 200 OK\r\nRequest-Attempt-Id: ") + kAttemptId +
+      "\r\nServer-Stamp: stamp\r\n";
+  for (const std::string& answer :
+       {head.substr(0, 12), head.substr(0, 40), head, head + "\r\n",
+        head + "Content-Length: 9\r\n\r\nbod",
+        head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"}) {
+    ClosingTarget target(answer);
+    GatewayFixture fixture;
+    fixture.control->AddTarget("i-1", target.endpoint());
+    fixture.control->Start();
+    fixture.Start();
+    cr_assert(fixture.WaitUntilReady(true));
+    const std::string received = fixture.Call(Post("/o/x"));
+    cr_assert(StatusOf(received) == "502", "%s\n%s", answer.c_str(),
+              received.c_str());
+    cr_assert_eq(target.calls, 1);
+  }
+}
+
 }  // namespace limpethatch
