Test that a stream that breaks off is never mixed with another answer

From a further report: the next target's error text stood in the middle of a stream that had broken off, or the stream ended as if it were complete.

It cannot happen here: a gateway passes on an answer only once it has all of it, from one target, and a sample's text takes in only what a signed 200 brings. The test, with a target that breaks off and one that answers 500, for new streams and for those that are taken up, passes without a change.

--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -964,4 +964,36 @@
   }
 }
 
+// The text of an error, at times with its head, stood in the middle of a stream
+// that had broken off, or the stream ended as if it were complete.
+Test(gateway, a_stream_that_breaks_off_is_never_mixed_with_another_answer) {
+  ClosingTarget breaking_target(
+      std::string("HTTP/1.1 200 OK\r\nRequest-Attempt-Id: ") + kAttemptId +
+      "\r\nServer-Stamp: stamp\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "f\r\nid: 1\ndata: a\n\n\r\n");
+  FakeTarget failing_target([](const HttpRequest& request) {
+    HttpResponse response = SignedAnswer(request, kAttemptId);
+    response.status = 500;
+    response.body = "out of order";
+    return response;
+  });
+  GatewayFixture fixture;
+  fixture.control->AddTarget("i-1", breaking_target.endpoint());
+  fixture.control->AddTarget("i-2", failing_target.endpoint());
+  fixture.control->Start();
+  fixture.Start();
+  cr_assert(fixture.WaitUntilReady(true));
+  const std::string resumption = "Last-Event-Id: 1\r\nResumes: a\r\n";
+  for (int i = 0; i < 20; ++i) {
+    const std::string answer =
+        fixture.Call(Post("/s/x", i % 2 == 0 ? "" : resumption));
+    const std::string status = StatusOf(answer);
+    cr_assert(status == "502" || status == "500", "%s", answer.c_str());
+    cr_assert(answer.find("data: a") == std::string::npos);
+    cr_assert((answer.find("out of order") != std::string::npos) ==
+              (status == "500"));
+  }
+  cr_assert(breaking_target.calls > 0 && failing_target.calls > 0);
+}
+
 }  // namespace limpethatch
