Tell gateways of live suspects only, and forget leaving targets that are gone

A gateway also kept the id of each target that had ever left.

The new test of crash_ledger fails without the names; the programs version, request, control and gateway pass.

--- a/src/limpethatch/request/unfinished_runs.h
+++ b/src/limpethatch/request/unfinished_runs.h
@@ -19,7 +19,7 @@
 namespace limpethatch {
 
 struct UnfinishedRun {
-  std::string request;  // Digest of a live request's content, or a sample's id.
+  std::string request;  // As named in CrashLedger.
   std::string target;
   uint64_t incarnation = 0;
   std::string address;
--- a/src/limpethatch/version/crash_ledger.cc
+++ b/src/limpethatch/version/crash_ledger.cc
@@ -5,6 +5,8 @@
 namespace limpethatch {
 namespace {
 
+constexpr std::string_view kSamplePrefix = "sample/";
+
 CrashedProcess Decode(const wire::TargetProcess& process) {
   return {process.target(), process.incarnation()};
 }
@@ -51,9 +53,16 @@
                      });
 }
 
-wire::SuspectRequests CrashLedger::Suspects() const {
+std::string CrashLedger::NameOfSample(std::string_view id) {
+  return std::string(kSamplePrefix) += id;
+}
+
+wire::SuspectRequests CrashLedger::LiveSuspects() const {
   wire::SuspectRequests suspects;
   for (const auto& [request, processes] : crashes_) {
+    if (request.starts_with(kSamplePrefix)) {
+      continue;
+    }
     wire::SuspectRequest& suspect = *suspects.add_requests();
     suspect.set_request(request);
     suspect.set_refused(IsRefused(request));
--- a/src/limpethatch/version/crash_ledger.h
+++ b/src/limpethatch/version/crash_ledger.h
@@ -34,7 +34,11 @@
   // A sample with this many crashes runs only where nothing else does.
   static constexpr size_t kSuspectCrashes = 2;
   // The evidence on the oldest requests beyond this number is dropped.
-  static constexpr size_t kMaxRequests = 1024;
+  static constexpr size_t kMaxRequests = 512;
+
+  // The name under which the runs of a sample are recorded. Live requests are
+  // recorded under the digest of their content.
+  static std::string NameOfSample(std::string_view id);
 
   void Apply(const wire::CrashEvidence& evidence);
 
@@ -51,8 +55,8 @@
     return CrashCount(request) >= kMaxCrashes;
   }
 
-  // All requests with crashes, and whether each is refused.
-  wire::SuspectRequests Suspects() const;
+  // All live requests with crashes, and whether each is refused.
+  wire::SuspectRequests LiveSuspects() const;
   // The processes with a crash on record, and the requests they ran.
   const std::map<CrashedProcess, std::set<std::string, std::less<>>>&
   processes() const {
--- a/src/limpethatch/version/sample_scheduler.cc
+++ b/src/limpethatch/version/sample_scheduler.cc
@@ -175,10 +175,11 @@
     const auto retry = retry_states_.find(key);
     const bool paused =
         retry != retry_states_.end() && now < retry->second.retry_at;
-    const size_t crash_count =
-        crashes.empty() ? 0 : crashes.CrashCount(sample.id());
+    const std::string name =
+        crashes.empty() ? "" : CrashLedger::NameOfSample(sample.id());
+    const size_t crash_count = crashes.CrashCount(name);
     const bool crashes_engines =
-        crash_count >= kMaxSampleCrashes && crashes.CrashedAlone(sample.id());
+        crash_count >= kMaxSampleCrashes && crashes.CrashedAlone(name);
     if (run == runs_.end() && !paused && !crashes_engines &&
         !done_unlisted_.contains(key)) {
       group.waiting.push_back(
--- a/src/programs/control/fleet_targets.cc
+++ b/src/programs/control/fleet_targets.cc
@@ -217,7 +217,7 @@
   news.set_leader(replica_.LeaderEndpoint());
   news.set_configuration_version(ledger().configuration().version());
   *news.mutable_target_rates() = EncodeRateLimits();
-  *news.mutable_suspects() = ledger().crashes().Suspects();
+  *news.mutable_suspects() = ledger().crashes().LiveSuspects();
   news.add_control_endpoints(settings_.peers.ToString());
   for (const auto& [id, peer] : peers_) {
     if (now - peer.last_contact_at < kAliveTimeout) {
--- a/src/programs/control/sample_runner.cc
+++ b/src/programs/control/sample_runner.cc
@@ -394,12 +394,13 @@
 }
 
 void SampleRunner::ReportUnfinished(const Run& run) {
-  listener_.on_unfinished({.request = run.sample.id(),
-                           .target = run.start.engine,
-                           .incarnation = run.incarnation,
-                           .address = run.address.ToString(),
-                           .ended_at = Clock::now()},
-                          run.error == HttpError::kConnectionLost);
+  listener_.on_unfinished(
+      {.request = CrashLedger::NameOfSample(run.sample.id()),
+       .target = run.start.engine,
+       .incarnation = run.incarnation,
+       .address = run.address.ToString(),
+       .ended_at = Clock::now()},
+      run.error == HttpError::kConnectionLost);
 }
 
 void SampleRunner::RecordRunEnd(const Run& run, RunOutcome outcome) {
--- a/src/programs/gateway/fleet_subscriber.cc
+++ b/src/programs/gateway/fleet_subscriber.cc
@@ -288,6 +288,9 @@
     }
     known = target;
     changed = true;
+    if (known.gone()) {
+      leaving_.erase(known.id());
+    }
     callbacks_.on_target(target);
   }
   if (changed) {
--- a/tests/version/crash_ledger_test.cc
+++ b/tests/version/crash_ledger_test.cc
@@ -71,7 +71,7 @@
   ledger.Apply(evidence);
   cr_assert(ledger.CrashCount("a") == 0);
   cr_assert(ledger.CrashCount("b") == 2);
-  cr_assert(ledger.Suspects().requests_size() == 1);
+  cr_assert(ledger.LiveSuspects().requests_size() == 1);
 }
 
 Test(crash_ledger, a_process_that_is_heard_from_again_has_not_crashed) {
@@ -104,7 +104,7 @@
   }
   cr_assert(ledger.CrashCount("1") == 0);
   cr_assert(ledger.CrashCount("2") == 1);
-  cr_assert(ledger.Suspects().requests_size() ==
+  cr_assert(ledger.LiveSuspects().requests_size() ==
             static_cast<int>(CrashLedger::kMaxRequests));
 }
 
@@ -122,4 +122,12 @@
   cr_assert(restored.crashes().IsRefused("a"));
 }
 
+// Guards against news to all gateways that grow with the samples in flight.
+Test(crash_ledger, gateways_are_told_of_live_requests_only) {
+  CrashLedger ledger;
+  ledger.Apply(Crash("i-1", 1, {"a", CrashLedger::NameOfSample("s")}));
+  cr_assert_eq(ledger.LiveSuspects().requests_size(), 1);
+  cr_assert_eq(ledger.CrashCount(CrashLedger::NameOfSample("s")), 1);
+}
+
 }  // namespace limpethatch
--- a/tests/version/sample_scheduler_test.cc
+++ b/tests/version/sample_scheduler_test.cc
@@ -411,7 +411,8 @@
         wire::CrashEvidence evidence;
         for (const uint32_t index : samples) {
           wire::CrashedRun& run = *evidence.add_crashed_runs();
-          run.set_request("a" + std::to_string(index + 1));
+          run.set_request(
+              CrashLedger::NameOfSample("a" + std::to_string(index + 1)));
           run.mutable_process()->set_target(engine);
           run.mutable_process()->set_incarnation(incarnation);
           fixture.scheduler.EndRun({"a", index}, RunOutcome::kBroken,
@@ -444,7 +445,7 @@
     wire::CrashEvidence evidence;
     for (const char* sample : {"a1", "poison"}) {
       wire::CrashedRun& run = *evidence.add_crashed_runs();
-      run.set_request(sample);
+      run.set_request(CrashLedger::NameOfSample(sample));
       run.mutable_process()->set_target("engine9");
       run.mutable_process()->set_incarnation(incarnation);
     }
@@ -466,7 +467,7 @@
   for (const char* engine : {"engine8", "engine9"}) {
     wire::CrashEvidence evidence;
     wire::CrashedRun& run = *evidence.add_crashed_runs();
-    run.set_request("b1");
+    run.set_request(CrashLedger::NameOfSample("b1"));
     run.mutable_process()->set_target(engine);
     crashes.Apply(evidence);
   }
