--- a/src/programs/gateway/service_reach.h
+++ b/src/programs/gateway/service_reach.h
@@ -19,8 +19,8 @@
 // Not synchronised; used on the gateway's thread only.
 class ServiceReach {
  public:
-  // `on_change` is called with the services that became unreachable or
-  // reachable again taken into account.
+  // `on_change` is called after a service became unreachable or reachable
+  // again.
   ServiceReach(boost::asio::io_context& io,
                const TargetTable& targets,
                std::mt19937_64& random,
