Keep the scores of samples in the ledger of batch jobs

Cause: an item of a batch job may name a request that scores its text. Nothing sent it, and every result was listed without its score.

A sample with a reward call is now listed in two steps: its text is recorded whole, then its score. In between it is open, no engine gets it, and it stands in an index of samples that await their score. A score that comes before, twice, or for a listed sample changes nothing. A later job with the same sample takes over the score if the call is the same in all fields, and the whole text in any case.

Replicas of earlier builds ignore all this and their state would differ. An instance that does not know the format is not added as a member.

--- a/src/limpethatch/process/member_planner.cc
+++ b/src/limpethatch/process/member_planner.cc
@@ -28,7 +28,8 @@
   const auto voters = VotersByZone(replicas);
   ReplicaPtr best = nullptr;
   for (const ReplicaView& replica : replicas) {
-    if (replica.is_member || !replica.alive || replica.retired) {
+    if (replica.is_member || !replica.alive || replica.retired ||
+        !replica.applies_log) {
       continue;
     }
     if (!best || voters.at(replica.zone) < voters.at(best->zone)) {
--- a/src/limpethatch/process/member_planner.h
+++ b/src/limpethatch/process/member_planner.h
@@ -21,6 +21,7 @@
   bool is_voter = false;  // A voting member with a disk identity.
   bool retired = false;   // To be removed from the group.
   bool is_leader = false;
+  bool applies_log = true;  // Its build knows all commands in the log.
 };
 
 struct MemberChange {
--- a/src/limpethatch/version/fleet_ledger.cc
+++ b/src/limpethatch/version/fleet_ledger.cc
@@ -4,6 +4,16 @@
 #include <utility>
 
 namespace limpethatch {
+namespace {
+
+// Replicas of earlier builds do not know reward calls.
+void RemoveRewardCalls(wire::JobSubmit* submit) {
+  for (wire::JobSample& sample : *submit->mutable_samples()) {
+    sample.clear_reward_call();
+  }
+}
+
+}  // namespace
 
 bool FleetLedger::Apply(const wire::Command& command,
                         wire::CommandResult* result) {
@@ -15,7 +25,7 @@
       *result->mutable_weights() = Apply(command.weights_named());
       return true;
     case wire::Command::kJobSubmit:
-      *result->mutable_job() = jobs_.Apply(command.job_submit());
+      *result->mutable_job() = Apply(command.job_submit());
       return true;
     case wire::Command::kJobEnd:
       *result->mutable_job() = jobs_.Apply(command.job_end());
@@ -29,6 +39,10 @@
     case wire::Command::kInstanceRetire:
       retired_.insert(command.instance_retire().id());
       return true;
+    case wire::Command::kLogFormatRaise:
+      log_format_ =
+          std::max(log_format_, LogFormat{command.log_format_raise().format()});
+      return true;
     case wire::Command::kCrashEvidence:
       crashes_.Apply(command.crash_evidence());
       return true;
@@ -49,6 +63,15 @@
   return outcome;
 }
 
+wire::JobOutcome FleetLedger::Apply(const wire::JobSubmit& submit) {
+  if (log_format_ >= LogFormat::kScoredSamples) {
+    return jobs_.Apply(submit);
+  }
+  wire::JobSubmit without_reward_calls = submit;
+  RemoveRewardCalls(&without_reward_calls);
+  return jobs_.Apply(without_reward_calls);
+}
+
 wire::WeightsOutcome FleetLedger::Apply(const wire::WeightsNamed& named) {
   uint64_t& version = weights_[named.model()];
   version = std::max(version, named.version());
@@ -71,6 +94,7 @@
   for (const wire::CrashedRun& run : crashes_.runs()) {
     *snapshot.add_crashed_runs() = run;
   }
+  snapshot.set_log_format(static_cast<uint32_t>(log_format_));
   std::vector<ByteRope::Piece> parts;
   parts.push_back(
       std::make_shared<const std::string>(snapshot.SerializeAsString()));
@@ -97,6 +121,13 @@
     wire::CrashEvidence crashes;
     crashes.mutable_crashed_runs()->Swap(snapshot.mutable_crashed_runs());
     crashes_.Apply(crashes);
+    // The first part states the format; it precedes the jobs.
+    log_format_ = std::max(log_format_, LogFormat{snapshot.log_format()});
+    if (log_format_ < LogFormat::kScoredSamples) {
+      for (wire::JobSnapshot& job : *snapshot.mutable_jobs()) {
+        RemoveRewardCalls(job.mutable_submit());
+      }
+    }
     jobs_.Add(std::move(snapshot), part);
   }
   return true;
--- a/src/limpethatch/version/fleet_ledger.h
+++ b/src/limpethatch/version/fleet_ledger.h
@@ -13,6 +13,7 @@
 #include "ledger.pb.h"
 #include "limpethatch/version/crash_ledger.h"
 #include "limpethatch/version/job_ledger.h"
+#include "limpethatch/version/log_format.h"
 
 namespace limpethatch {
 
@@ -31,6 +32,9 @@
   const JobLedger& jobs() const { return jobs_; }
   const std::set<std::string>& retired() const { return retired_; }
   const CrashLedger& crashes() const { return crashes_; }
+  // The newest format that commands may have. A later one in the log was raised
+  // by a newer build, and is kept as it is.
+  LogFormat log_format() const { return log_format_; }
 
   // The whole state as serialised wire::FleetSnapshot messages, to be merged
   // in this order.
@@ -41,12 +45,14 @@
  private:
   wire::ConfigurationOutcome Apply(const wire::ConfigurationPut& put);
   wire::WeightsOutcome Apply(const wire::WeightsNamed& named);
+  wire::JobOutcome Apply(const wire::JobSubmit& submit);
 
   wire::FleetConfiguration configuration_;
   std::map<std::string, uint64_t> weights_;
   JobLedger jobs_;
   std::set<std::string> retired_;
   CrashLedger crashes_;
+  LogFormat log_format_ = LogFormat::kBase;
 };
 
 }  // namespace limpethatch
--- a/src/limpethatch/version/job_ledger.cc
+++ b/src/limpethatch/version/job_ledger.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "limpethatch/process/compression.h"
+#include "limpethatch/process/digest.h"
 
 namespace limpethatch {
 namespace {
@@ -59,6 +60,9 @@
     sample.set_whole(record.output.whole);
     sample.set_carried(record.carried);
     sample.set_software_version(record.output.software_version);
+    sample.set_score(record.score);
+    sample.set_scored_call(record.scored_call);
+    sample.set_score_failures(record.score_failures);
     for (const uint64_t version : record.output.versions) {
       sample.add_versions(version);
     }
@@ -76,6 +80,9 @@
     record.state = sample.state();
     record.failures = sample.failures();
     record.carried = sample.carried();
+    record.score = sample.score();
+    record.scored_call = sample.scored_call();
+    record.score_failures = sample.score_failures();
     record.output = {sample.text(),
                      sample.events(),
                      {sample.versions().begin(), sample.versions().end()},
@@ -91,6 +98,13 @@
       submit->mutable_samples());
 }
 
+// Identifies a reward call by all its fields.
+uint64_t DigestOf(const wire::RewardCall& call) {
+  constexpr char kSeparator = '\0';
+  return ContentDigest(call.id() + kSeparator + call.host() + kSeparator +
+                       call.path() + kSeparator + call.body());
+}
+
 ByteRope::Piece Serialise(const Job& job) {
   wire::FleetSnapshot snapshot;
   *snapshot.add_jobs() = ToSnapshot(job);
@@ -155,8 +169,26 @@
       !VersionsAllowed(job.submit, record.output.versions)) {
     return;
   }
-  job.samples[index].output = record.output;
-  if (record.output.whole) {
+  JobSampleRecord& carried = job.samples[index];
+  carried.output = record.output;
+  const wire::JobSample& sample = job.submit.samples(static_cast<int>(index));
+  if (!record.score.empty() && sample.has_reward_call() &&
+      record.scored_call == DigestOf(sample.reward_call())) {
+    carried.score = record.score;
+    carried.scored_call = record.scored_call;
+  }
+  if (carried.output.whole) {
+    OnWhole(job, index);
+  }
+}
+
+void JobLedger::OnWhole(Job& job, uint32_t index) {
+  const bool must_be_scored =
+      job.submit.samples(static_cast<int>(index)).has_reward_call() &&
+      job.samples[index].score.empty();
+  if (must_be_scored) {
+    unscored_.insert({job.submit.job(), index});
+  } else {
     ListSample(job, index, wire::SAMPLE_COMPLETED);
   }
 }
@@ -168,6 +200,14 @@
   }
 }
 
+void JobLedger::IndexUnscored(const Job& job) {
+  for (uint32_t index = 0; index < job.samples.size(); ++index) {
+    if (job.samples[index].AwaitsScore()) {
+      unscored_.insert({job.submit.job(), index});
+    }
+  }
+}
+
 wire::JobOutcome JobLedger::Apply(const wire::JobEnd& end) {
   const auto found = jobs_.find(end.job());
   if (found == jobs_.end()) {
@@ -176,6 +216,8 @@
   Job& job = found->second;
   if (!job.ended) {
     job.ended = true;
+    std::erase_if(unscored_,
+                  [&](const SampleKey& key) { return key.job == end.job(); });
     for (wire::JobSample& sample : *job.submit.mutable_samples()) {
       KeepIdAndGroupOnly(&sample);
     }
@@ -198,6 +240,8 @@
       latest_by_sample_.erase(latest);
     }
   }
+  std::erase_if(unscored_,
+                [&](const SampleKey& key) { return key.job == forget.job(); });
   jobs_.erase(found);
   std::erase(order_, forget.job());
   return MakeOutcome(wire::JobOutcome::APPLIED);
@@ -218,7 +262,11 @@
   }
   Job& job = found->second;
   JobSampleRecord& record = job.samples[advance.sample()];
-  if (record.state != wire::SAMPLE_OPEN || record.output.whole) {
+  if (record.AwaitsScore()) {
+    AdvanceScore(job, advance);
+    return;
+  }
+  if (record.state != wire::SAMPLE_OPEN) {
     return;
   }
   record.failures += advance.failures();
@@ -250,6 +298,20 @@
   if (advance.state() == wire::SAMPLE_COMPLETED) {
     record.output.whole = true;
     record.output.text = CompressCommand(std::move(record.output.text));
+    record.output.text.shrink_to_fit();
+    OnWhole(job, advance.sample());
+  }
+}
+
+void JobLedger::AdvanceScore(Job& job, const wire::SampleAdvance& advance) {
+  JobSampleRecord& record = job.samples[advance.sample()];
+  record.score_failures += advance.score_failures();
+  if (advance.state() == wire::SAMPLE_DEAD) {
+    ListSample(job, advance.sample(), wire::SAMPLE_DEAD);
+  } else if (!advance.score().empty()) {
+    record.score = advance.score();
+    record.scored_call = DigestOf(
+        job.submit.samples(static_cast<int>(advance.sample())).reward_call());
     ListSample(job, advance.sample(), wire::SAMPLE_COMPLETED);
   }
 }
@@ -257,6 +319,7 @@
 void JobLedger::ListSample(Job& job, uint32_t index, wire::SampleState state) {
   JobSampleRecord& record = job.samples[index];
   record.state = state;
+  unscored_.erase({job.submit.job(), index});
   if (state == wire::SAMPLE_DEAD) {
     record.output = {};
   }
@@ -297,6 +360,7 @@
     result.set_id(job->submit.samples(static_cast<int>(index)).id());
     result.set_state(record.state);
     result.set_text(std::move(text));
+    result.set_score(record.score);
     for (const uint64_t version : record.output.versions) {
       result.add_versions(version);
     }
@@ -367,6 +431,8 @@
       job = JobFromSnapshot(saved);
       if (job.ended) {
         ReplaceBySerialised(job);
+      } else {
+        IndexUnscored(job);
       }
       continue;
     }
--- a/src/limpethatch/version/job_ledger.h
+++ b/src/limpethatch/version/job_ledger.h
@@ -6,13 +6,18 @@
 // its content changes afterwards. The text of samples that are not listed yet
 // is kept as well, so that another engine, or a later job with the same
 // samples, can resume from it.
+//
+// A sample with a reward call is listed as completed once its text is recorded
+// whole and, later, its score. Until then it is open and awaits its score.
 #ifndef LIMPETHATCH_VERSION_JOB_LEDGER_H_
 #define LIMPETHATCH_VERSION_JOB_LEDGER_H_
 
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,7 +33,7 @@
   std::string text;
   uint32_t events = 0;
   std::vector<uint64_t> versions;  // Ascending, without duplicates.
-  bool whole = false;              // The sample has completed.
+  bool whole = false;              // No event is missing.
   std::string software_version;    // Of the engines that generated it.
 
   std::string Decompressed() const;
@@ -39,6 +44,21 @@
   SampleText output;
   uint32_t failures = 0;  // Attempts that ended with an error of the engine.
   bool carried = false;   // An earlier job contains the same sample.
+  std::string score;      // Empty unless the sample was scored.
+  // Digest of the reward call that `score` answers.
+  uint64_t scored_call = 0;
+  uint32_t score_failures = 0;  // Reward calls that ended with a failure.
+
+  bool AwaitsScore() const {
+    return state == wire::SAMPLE_OPEN && output.whole;
+  }
+};
+
+struct SampleKey {
+  std::string job;
+  uint32_t index = 0;
+
+  auto operator<=>(const SampleKey&) const = default;
 };
 
 struct Job {
@@ -78,6 +98,8 @@
   const std::map<std::string, Job, std::less<>>& jobs() const { return jobs_; }
   // Ids of all retained jobs, in the order of their submission.
   const std::deque<std::string>& order() const { return order_; }
+  // The samples whose text is whole and whose score is not recorded.
+  const std::set<SampleKey>& unscored() const { return unscored_; }
 
   // Results from position `after` on, as many as fit into one page.
   wire::JobPage Page(std::string_view job, uint64_t after) const;
@@ -97,11 +119,6 @@
   void Add(wire::FleetSnapshot snapshot, const ByteRope::Piece& serialised);
 
  private:
-  struct SampleAddress {
-    std::string job;
-    uint32_t index = 0;
-  };
-
   void Advance(const wire::SampleAdvance& advance);
   // Ended jobs that were deserialised for reading, by id.
   using Decompressed = std::map<std::string, Job, std::less<>>;
@@ -111,12 +128,19 @@
   static void ReplaceBySerialised(Job& job);
   static Job Deserialise(const Job& job);
   void ListSample(Job& job, uint32_t index, wire::SampleState state);
+  // The text of the sample is whole.
+  void OnWhole(Job& job, uint32_t index);
+  // Applies what the advance states of the sample's score.
+  void AdvanceScore(Job& job, const wire::SampleAdvance& advance);
   void IndexSamples(const wire::JobSubmit& submit);
+  // Adds the samples of an open job that await their score to unscored_.
+  void IndexUnscored(const Job& job);
 
   std::map<std::string, Job, std::less<>> jobs_;
   std::deque<std::string> order_;
-  std::map<std::string, SampleAddress, std::less<>>
+  std::map<std::string, SampleKey, std::less<>>
       latest_by_sample_;  // By sample id.
+  std::set<SampleKey> unscored_;
 };
 
 }  // namespace limpethatch
--- a/src/limpethatch/version/sample_scheduler.cc
+++ b/src/limpethatch/version/sample_scheduler.cc
@@ -19,6 +19,10 @@
 // while nothing else was running there.
 constexpr size_t kMaxSampleCrashes = CrashLedger::kMaxCrashes + 2;
 
+bool NeedsText(const JobSampleRecord& record) {
+  return record.state == wire::SAMPLE_OPEN && !record.output.whole;
+}
+
 uint32_t RemainingEvents(uint32_t expected, uint32_t received) {
   const uint32_t remaining = expected > received ? expected - received : 0;
   return std::max(remaining, received / kOverrunDivisor + 1);
@@ -42,8 +46,7 @@
   SamplePlan plan;
   std::erase_if(done_unlisted_, [&](const SampleKey& key) {
     const Job* job = jobs.Find(key.job);
-    return !job || job->ended ||
-           job->samples[key.index].state != wire::SAMPLE_OPEN;
+    return !job || job->ended || !NeedsText(job->samples[key.index]);
   });
   std::erase_if(resume_waits_, [&](const auto& entry) {
     const Job* job = jobs.Find(entry.first.job);
@@ -70,8 +73,7 @@
     const Job* job = jobs.Find(key.job);
     const EngineState* engine = engine_table_.Find(run.engine);
     StopReason reason;
-    if (!job || job->ended ||
-        job->samples[key.index].state != wire::SAMPLE_OPEN) {
+    if (!job || job->ended || !NeedsText(job->samples[key.index])) {
       reason = StopReason::kJobOver;
     } else if (now - run.last_progress > options_.silence_timeout) {
       reason = StopReason::kSilent;
@@ -163,6 +165,9 @@
       continue;
     }
     group.complete = false;
+    if (!NeedsText(record)) {
+      continue;
+    }
     const SampleKey key{id, index};
     uint32_t received = record.output.events;
     const auto run = runs_.find(key);
--- a/src/limpethatch/version/sample_scheduler.h
+++ b/src/limpethatch/version/sample_scheduler.h
@@ -13,7 +13,6 @@
 #ifndef LIMPETHATCH_VERSION_SAMPLE_SCHEDULER_H_
 #define LIMPETHATCH_VERSION_SAMPLE_SCHEDULER_H_
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -28,13 +27,6 @@
 
 namespace limpethatch {
 
-struct SampleKey {
-  std::string job;
-  uint32_t index = 0;
-
-  auto operator<=>(const SampleKey&) const = default;
-};
-
 struct SampleStart {
   SampleKey key;
   std::string engine;
@@ -43,7 +35,7 @@
 };
 
 enum class StopReason {
-  kJobOver,  // The job ended, or the sample is listed.
+  kJobOver,  // The job ended, or the sample needs no more text.
   kSlow,     // Another engine would complete it much sooner.
   kSilent,   // No event arrived within the silence time-out.
   kEngineGone,
--- a/tests/process/member_planner_test.cc
+++ b/tests/process/member_planner_test.cc
@@ -67,6 +67,18 @@
 // A frozen voter may be replaced by the only spare instance, in another zone.
 // After the frozen one has resumed, the loss of that zone would cost the
 // quorum.
+// A member of an earlier build would ignore commands and its state differ.
+Test(member_planner, an_instance_that_does_not_know_all_commands_is_not_added) {
+  std::vector<ReplicaView> replicas = Three();
+  replicas[1].alive = false;
+  replicas[1].unresponsive = true;
+  replicas.push_back(ReplicaOf("d", "z2", false));
+  replicas[3].applies_log = false;
+  cr_assert(!PlanMemberChange(replicas, 3));
+  replicas.push_back(ReplicaOf("e", "z2", false));
+  cr_assert(PlanMemberChange(replicas, 3)->id == "e");
+}
+
 Test(member_planner, a_zone_with_two_voters_loses_one_to_a_zone_without) {
   std::vector<ReplicaView> replicas = {
       ReplicaOf("a", "z1", true), ReplicaOf("a2", "z1", true),
