--- a/src/limpethatch/request/internal/rollout_choice.cc
+++ b/src/limpethatch/request/internal/rollout_choice.cc
@@ -101,11 +101,12 @@
 }
 
 RoutedTargetPtr ChooseRollout(const ServiceTargets& service,
+                              std::span<const RoutedTargetPtr> from,
                               const RouteRequest& request,
                               const RolloutShare& share) {
-  const size_t count = service.all.size();
+  const size_t count = from.size();
   for (size_t step = 0; step < count; ++step) {
-    const auto& routed = service.all[(request.random + step) % count];
+    const auto& routed = from[(request.random + step) % count];
     if (IsAllowed(*routed, request) && HasSlot(service, *routed, share) &&
         (!routed->stats->ejected() || MayProbe(*routed, request.now))) {
       return routed;
--- a/src/limpethatch/request/internal/rollout_choice.h
+++ b/src/limpethatch/request/internal/rollout_choice.h
@@ -3,6 +3,7 @@
 #define LIMPETHATCH_REQUEST_INTERNAL_ROLLOUT_CHOICE_H_
 
 #include <cstdint>
+#include <span>
 
 #include "limpethatch/request/router.h"
 
@@ -14,8 +15,10 @@
 // Whether the request's version and excluded targets permit the target.
 bool IsAllowed(const RoutedTarget& routed, const RouteRequest& request);
 
-// Returns null if there is no free slot that this instance may use.
+// Chooses among `from`, which are targets of the service. Returns null if there
+// is no free slot that this instance may use.
 RoutedTargetPtr ChooseRollout(const ServiceTargets& service,
+                              std::span<const RoutedTargetPtr> from,
                               const RouteRequest& request,
                               const RolloutShare& share);
 
--- a/src/limpethatch/request/router.cc
+++ b/src/limpethatch/request/router.cc
@@ -226,8 +226,17 @@
     return nullptr;
   }
   RefreshGroup(*service, request.now);
-  if (request.rollout_share) {
-    return internal::ChooseRollout(*service, request, *request.rollout_share);
+  const auto zone = service->by_zone.find(options_.zone);
+  const Candidates own_zone =
+      zone == service->by_zone.end() ? Candidates() : Candidates(zone->second);
+  if (const auto& share = request.rollout_share) {
+    RoutedTargetPtr own;
+    if (share->prefer_own_zone) {
+      own = internal::ChooseRollout(*service, own_zone, request, *share);
+    }
+    return own ? own
+               : internal::ChooseRollout(*service, service->all, request,
+                                         *share);
   }
   if (const auto* probe =
           ProbeDue(*service, request, options_.probe_interval)) {
@@ -237,9 +246,6 @@
     return *unmeasured;
   }
   TargetSelector selector(*service, request);
-  const auto zone = service->by_zone.find(options_.zone);
-  const Candidates own_zone =
-      zone == service->by_zone.end() ? Candidates() : Candidates(zone->second);
   if (request.prefix_hash != 0) {
     const double mean = SampledUtilisation(selector, own_zone, request.random);
     if (const auto* affine = mean > options_.spill_utilisation
--- a/src/limpethatch/request/router.h
+++ b/src/limpethatch/request/router.h
@@ -24,6 +24,8 @@
   uint32_t spare_slots = 1;  // Of each target, reserved for live requests.
   uint32_t instance = 0;     // Rank of this one among those instances.
   uint32_t instances = 1;
+  // Whether slots in the own zone are used before those of other zones.
+  bool prefer_own_zone = false;
 };
 
 struct RouteRequest {
