Score the samples of batch jobs

The leader runs the reward calls: RewardRunner sends them, takes the signature of a whole 2xx answer to the same call as the score, counts 500s, and proposes both to the log. Calls stop when their job ends. Targets that leave, rate limits and requests that crash targets are treated as for samples, by the same listener. A malformed reward call is refused with its reason, and one without a route with 400 if the configuration is current. Result pages carry the score. A job with reward calls is refused with 503 while a member runs an earlier release.

Counters, a latency histogram and log lines for calls sent, ended and given up.

--- a/src/programs/control/fleet_leader.cc
+++ b/src/programs/control/fleet_leader.cc
@@ -25,6 +25,9 @@
   scheduler_.Reset();
   rollout_.Reset();
   weight_order_client_.Reset();
+  reward_runner_.Reset();
+  reward_scheduler_.Reset();
+  log_format_proposed_ = false;
   if (leading) {
     previous_leader_ = last_leader_;
     leading_since_ = Clock::now();
@@ -106,6 +109,7 @@
   for (const SampleStart& start : plan.starts) {
     sample_runner_.Start(start, *ledger().jobs().Find(start.key.job));
   }
+  RunRewardTasks(now);
   AnswerPendingJobQueries(now);
 }
 
--- a/src/programs/control/fleet_members.cc
+++ b/src/programs/control/fleet_members.cc
@@ -25,6 +25,7 @@
   self.set_name(settings_.name);
   self.set_zone(settings_.process.zone);
   self.set_stores(true);
+  self.set_log_format(static_cast<uint32_t>(kNewestLogFormat));
   if (IsActiveLeader(now)) {
     *digest.mutable_target_rates() = EncodeRateLimits();
   }
@@ -137,9 +138,10 @@
   if (!consensus || !IsActiveLeader(now) || !consensus->MembersCommitted()) {
     return;
   }
+  RaiseLogFormat();
   std::vector<ReplicaView> replicas;
   const auto add_view = [&](const std::string& id, const std::string& endpoint,
-                            const std::string& zone,
+                            const std::string& zone, bool applies_log,
                             TimePoint last_contact_at) {
     ReplicaView& replica = replicas.emplace_back();
     replica.id = id;
@@ -151,6 +153,7 @@
         kReplacementTimeout;
     replica.retired = ledger().retired().contains(id);
     replica.is_leader = id == settings_.process.id;
+    replica.applies_log = applies_log;
     for (const wire::Member& member : consensus->members().members()) {
       if (member.id() == id) {
         replica.is_member = true;
@@ -159,10 +162,10 @@
     }
   };
   add_view(settings_.process.id, settings_.peers.ToString(),
-           settings_.process.zone, now);
+           settings_.process.zone, true, now);
   for (const auto& [id, peer] : peers_) {
     add_view(id, peer.record.endpoint(), peer.record.zone(),
-             peer.last_contact_at);
+             Applies(peer.record), peer.last_contact_at);
   }
   const size_t replica_count = 2 * settings_.tolerated_losses + 1;
   const std::optional<MemberChange> change =
@@ -184,6 +187,39 @@
        {"outcome", error ? error.message() : "proposed"}});
 }
 
+bool FleetService::Applies(const wire::ControlInstanceRecord& record) const {
+  const LogFormat needed =
+      log_format_proposed_ ? kNewestLogFormat : ledger().log_format();
+  return LogFormat{record.log_format()} >= needed;
+}
+
+void FleetService::RaiseLogFormat() {
+  if (ledger().log_format() >= kNewestLogFormat) {
+    return;
+  }
+  const auto& members = replica_.consensus()->members().members();
+  const bool all_apply_it = std::all_of(
+      members.begin(), members.end(), [this](const wire::Member& member) {
+        const auto peer = peers_.find(member.id());
+        return member.id() == settings_.process.id ||
+               (peer != peers_.end() &&
+                LogFormat{peer->second.record.log_format()} >=
+                    kNewestLogFormat);
+      });
+  if (!all_apply_it) {
+    return;
+  }
+  wire::Command command;
+  command.mutable_log_format_raise()->set_format(
+      static_cast<uint32_t>(kNewestLogFormat));
+  const Result<uint64_t> index = replica_.Propose(command.SerializeAsString());
+  log_format_proposed_ = log_format_proposed_ || index;
+  Log(LogLevel::kInfo, "log_format_raise",
+      {{"from", static_cast<uint32_t>(ledger().log_format())},
+       {"to", static_cast<uint32_t>(kNewestLogFormat)},
+       {"outcome", index ? "proposed" : index.error().message()}});
+}
+
 const FleetService::Peer* FleetService::FindPeerByName(
     const std::string& name) const {
   for (const auto& [id, peer] : peers_) {
--- a/src/programs/control/fleet_metrics.cc
+++ b/src/programs/control/fleet_metrics.cc
@@ -58,6 +58,28 @@
           static_cast<double>(weight_order_client_.accepted()));
   counter("limpethatch_weight_orders_lost_total", "Orders without an answer.",
           static_cast<double>(weight_order_client_.lost()));
+  gauge("limpethatch_log_format", "Newest format that commands may have.",
+        static_cast<double>(ledger().log_format()));
+  gauge("limpethatch_samples_unscored", "Samples that await their score.",
+        static_cast<double>(ledger().jobs().unscored().size()));
+  const RewardRunner::Counters& rewards = reward_runner_.counters();
+  counter("limpethatch_reward_calls_sent_total", "Reward calls begun.",
+          static_cast<double>(rewards.sent));
+  text.Family("limpethatch_reward_calls_ended_total", MetricType::kCounter,
+              "Reward calls by outcome.");
+  for (const auto& [outcome, count] : {std::pair("scored", rewards.scored),
+                                       std::pair("failed", rewards.failed),
+                                       std::pair("not_run", rewards.not_run),
+                                       std::pair("broken", rewards.broken),
+                                       std::pair("stopped", rewards.stopped)}) {
+    text.Sample({{"outcome", outcome}}, static_cast<double>(count));
+  }
+  counter("limpethatch_samples_unscorable_total",
+          "Samples given up because their reward calls failed.",
+          static_cast<double>(rewards.given_up));
+  text.Family("limpethatch_reward_latency_seconds", MetricType::kHistogram,
+              "Time to the score of one reward call.");
+  reward_runner_.latency().Write({"outcome", "scored"}, &text);
   HttpResponse response;
   response.headers.Set("Content-Type", "text/plain; version=0.0.4");
   response.body = text.text();
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -91,28 +91,7 @@
           io,
           {[this](std::vector<wire::CrashedRun> runs) { RecordCrashes(runs); },
            [this](const std::string& target) { return OtherTargets(target); }}),
-      sample_runner_(io,
-                     timers,
-                     scheduler_,
-                     {[this](const wire::SamplesAdvance& advances) {
-                        return RecordAdvances(advances);
-                      },
-                      [this] { ScheduleLeaderTasks(); },
-                      [this](const std::string& engine,
-                             uint64_t incarnation,
-                             std::optional<double> rate_limit) {
-                        ObserveRateLimit(engine, incarnation, rate_limit);
-                      },
-                      [this](const std::string& engine, uint64_t incarnation) {
-                        OnTargetLeaving(engine, incarnation);
-                      },
-                      [this](const UnfinishedRun& run, bool connection_lost) {
-                        if (connection_lost) {
-                          crash_detector_.OnConnectionLost(run);
-                        } else {
-                          crash_detector_.OnNoAnswer(run);
-                        }
-                      }}),
+      sample_runner_(io, timers, scheduler_, MakeRunListener()),
       weight_order_client_(
           io,
           settings.process.id,
@@ -121,8 +100,45 @@
           [this] { return OrderTerm(); },
           [this](const std::string& engine, uint64_t incarnation) {
             OnTargetLeaving(engine, incarnation);
+          }),
+      random_(RandomEpoch()),
+      reward_scheduler_(settings.process.zone),
+      reward_runner_(
+          io,
+          timers,
+          reward_scheduler_,
+          [this] {
+            RunListener listener = MakeRunListener();
+            listener.replan = [this] { ScheduleRewardTasks(); };
+            return listener;
+          }(),
+          [this](const std::string& target,
+                 uint32_t running,
+                 uint32_t waiting) {
+            OnTargetLoad(target, running, waiting);
           }) {}
 
+RunListener FleetService::MakeRunListener() {
+  return {[this](const wire::SamplesAdvance& advances) {
+            return RecordAdvances(advances);
+          },
+          [this] { ScheduleLeaderTasks(); },
+          [this](const std::string& target, uint64_t incarnation,
+                 std::optional<double> rate_limit) {
+            ObserveRateLimit(target, incarnation, rate_limit);
+          },
+          [this](const std::string& target, uint64_t incarnation) {
+            OnTargetLeaving(target, incarnation);
+          },
+          [this](const UnfinishedRun& run, bool connection_lost) {
+            if (connection_lost) {
+              crash_detector_.OnConnectionLost(run);
+            } else {
+              crash_detector_.OnNoAnswer(run);
+            }
+          }};
+}
+
 std::error_code FleetService::Start() {
   LoadTargets();
   AddSeeds(settings_.seeds);
@@ -245,7 +261,7 @@
 
 bool FleetService::HandleRequest(const wire::ControlRequest& request) {
   if (request.command().has_job_submit()) {
-    return RefuseChangedRoute(request);
+    return RefuseChangedRoute(request) || RefuseUnsupportedJob(request);
   }
   if (!request.has_configuration() && !request.has_job() &&
       !request.has_job_body() && !request.has_target_rate() &&
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,6 +28,8 @@
 #include "limpethatch/version/weight_rollout.h"
 #include "programs/control/control_settings.h"
 #include "programs/control/replica_runner.h"
+#include "programs/control/reward_runner.h"
+#include "programs/control/run_listener.h"
 #include "programs/control/sample_runner.h"
 #include "programs/control/weight_order_client.h"
 
@@ -129,6 +132,11 @@
   void Broadcast(const wire::ControlDigest& digest);
   wire::ControlDigest MakeDigest(TimePoint now) const;
   void ReconcileMembers(TimePoint now);
+  // Proposes that commands may have the newest format, once all members apply
+  // it.
+  void RaiseLogFormat();
+  // Whether the instance applies all commands that may be in the log.
+  bool Applies(const wire::ControlInstanceRecord& record) const;
   const Peer* FindPeerByName(const std::string& name) const;
   // Number of responsive, unretired control instances other than `id`.
   size_t CountRemainingInstances(const std::string& id, TimePoint now) const;
@@ -199,6 +207,9 @@
   // Answers the submission of a batch job whose gateway used a route that is
   // not in force any more. Returns false for any other.
   bool RefuseChangedRoute(const wire::ControlRequest& request);
+  // Answers the submission of a batch job with reward calls while not all
+  // members apply them. Returns false for any other.
+  bool RefuseUnsupportedJob(const wire::ControlRequest& request);
   void AnswerJobQuery(const wire::ControlRequest& request, bool may_wait);
   void AnswerJobBodyQuery(const wire::ControlRequest& request);
   void AnswerPendingJobQueries(TimePoint now);
@@ -212,6 +223,7 @@
   void ScheduleLeaderTasks();
   void RunLeaderTasks(TimePoint now);
   void InitialiseEngineTable();
+  RunListener MakeRunListener();
   void ExpireJobs(TimePoint now);
   // The term if this replica may issue orders now, else 0.
   uint64_t OrderTerm() const;
@@ -219,6 +231,15 @@
   bool RecordAdvances(const wire::SamplesAdvance& advances);
   void ServeMetrics(HttpExchange& exchange);
 
+  // Calls that score samples.
+  void ScheduleRewardTasks();
+  void RunRewardTasks(TimePoint now);
+  // Brings the routes and targets of reward calls up to date.
+  void UpdateRewardTargets();
+  void OnTargetLoad(const std::string& target,
+                    uint32_t running,
+                    uint32_t waiting);
+
   boost::asio::io_context& io_;
   TimerService& timers_;
   Messenger& messenger_;
@@ -270,6 +291,20 @@
   WeightRollout rollout_;
   SampleRunner sample_runner_;
   WeightOrderClient weight_order_client_;
+
+  std::mt19937_64 random_;
+  RewardScheduler reward_scheduler_;
+  RewardRunner reward_runner_;
+  bool reward_tasks_scheduled_ = false;
+  // Of the configuration in force; set once a sample awaits its score.
+  std::optional<RouteTable> reward_routes_;
+  TargetTable reward_targets_;  // The plain services only.
+  bool reward_targets_outdated_ = true;
+  uint64_t reward_targets_revision_ = 0;  // Of targets_.
+  std::map<std::string, TargetLoad, std::less<>> reward_target_loads_;
+  // This leader has proposed the newest log format.
+  bool log_format_proposed_ = false;
+
   bool leader_tasks_scheduled_ = false;
   bool engine_table_initialised_ = false;  // In this term.
   std::string last_leader_;  // The latest leader other than this instance.
--- a/src/programs/control/sample_runner.cc
+++ b/src/programs/control/sample_runner.cc
@@ -65,7 +65,7 @@
 SampleRunner::SampleRunner(boost::asio::io_context& io,
                            TimerService& timers,
                            SampleScheduler& scheduler,
-                           Listener listener)
+                           RunListener listener)
     : io_(io),
       timers_(timers),
       scheduler_(scheduler),
--- a/src/programs/control/sample_runner.h
+++ b/src/programs/control/sample_runner.h
@@ -4,7 +4,6 @@
 #define LIMPETHATCH_PROGRAMS_CONTROL_SAMPLE_RUNNER_H_
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -15,38 +14,20 @@
 #include "limpethatch/connection/http_client.h"
 #include "limpethatch/connection/read_pacer.h"
 #include "limpethatch/process/timer_service.h"
-#include "limpethatch/request/unfinished_runs.h"
 #include "limpethatch/version/job_ledger.h"
 #include "limpethatch/version/sample_scheduler.h"
 #include "limpethatch/version/sample_stream_validator.h"
 #include "platform/engine_codec.h"
+#include "programs/control/run_listener.h"
 
 namespace limpethatch {
 
 class SampleRunner {
  public:
-  struct Listener {
-    // Proposes a command to the log; false if that is not possible now.
-    std::function<bool(const wire::SamplesAdvance& advances)> record_advances;
-    // A run ended, so that the scheduler has to plan again.
-    std::function<void()> replan;
-    // An engine answered, with or without a rate limit in requests per second.
-    std::function<void(const std::string& engine,
-                       uint64_t incarnation,
-                       std::optional<double> rate_limit)>
-        on_answer;
-    // An engine said in an answer that it is leaving.
-    std::function<void(const std::string& engine, uint64_t incarnation)>
-        on_leaving;
-    // A run ended without a complete answer, after the sample was sent.
-    std::function<void(const UnfinishedRun& run, bool connection_lost)>
-        on_unfinished;
-  };
-
   SampleRunner(boost::asio::io_context& io,
                TimerService& timers,
                SampleScheduler& scheduler,
-               Listener listener);
+               RunListener listener);
 
   void Start(const SampleStart& start, const Job& job);
   void Stop(const SampleStop& stop);
@@ -132,7 +113,7 @@
   boost::asio::io_context& io_;
   TimerService& timers_;
   SampleScheduler& scheduler_;
-  Listener listener_;
+  RunListener listener_;
   HttpClient client_;
   ReadPacer pacer_;
   uint64_t generation_ = 0;  // Increases with each Reset.
--- a/src/programs/gateway/gateway_metrics.cc
+++ b/src/programs/gateway/gateway_metrics.cc
@@ -1,28 +1,8 @@
 #include "programs/gateway/gateway_metrics.h"
 
-#include <chrono>
-
 #include "limpethatch/process/metrics_text.h"
 
 namespace limpethatch {
-namespace {
-
-double ToSeconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-}  // namespace
-
-void LatencyHistogram::Add(Duration latency) {
-  size_t bucket = 0;
-  while (bucket < kBounds.size() && latency > kBounds.at(bucket)) {
-    ++bucket;
-  }
-  ++counts.at(bucket);
-  ++total;
-  sum += latency;
-}
-
 void GatewayMetrics::RecordAnswer(const std::string& route,
                                   int status,
                                   Duration latency) {
@@ -75,19 +55,7 @@
   text.Family("limpethatch_latency_seconds", MetricType::kHistogram,
               "Time to the answer of live requests.");
   for (const auto& [route, histogram] : latencies_) {
-    uint64_t cumulative = 0;
-    for (size_t i = 0; i < LatencyHistogram::kBounds.size(); ++i) {
-      cumulative += histogram.counts.at(i);
-      text.Sample(
-          {{"route", route},
-           {"le", std::to_string(ToSeconds(LatencyHistogram::kBounds.at(i)))}},
-          static_cast<double>(cumulative), "_bucket");
-    }
-    text.Sample({{"route", route}, {"le", "+Inf"}},
-                static_cast<double>(histogram.total), "_bucket");
-    text.Sample({{"route", route}}, ToSeconds(histogram.sum), "_sum");
-    text.Sample({{"route", route}}, static_cast<double>(histogram.total),
-                "_count");
+    histogram.Write({"route", route}, &text);
   }
   return text.text();
 }
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -2,31 +2,15 @@
 #ifndef LIMPETHATCH_PROGRAMS_GATEWAY_GATEWAY_METRICS_H_
 #define LIMPETHATCH_PROGRAMS_GATEWAY_GATEWAY_METRICS_H_
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
 
 #include "limpethatch/process/clock.h"
+#include "limpethatch/process/latency_histogram.h"
 
 namespace limpethatch {
 
-// Latencies of the calls on one route.
-struct LatencyHistogram {
-  // Inclusive upper bounds of the buckets; the last bucket is unbounded.
-  static constexpr std::array<Duration, 8> kBounds{
-      std::chrono::milliseconds(5),   std::chrono::milliseconds(10),
-      std::chrono::milliseconds(25),  std::chrono::milliseconds(50),
-      std::chrono::milliseconds(100), std::chrono::milliseconds(250),
-      std::chrono::milliseconds(500), std::chrono::milliseconds(1000)};
-
-  std::array<uint64_t, kBounds.size() + 1> counts{};
-  uint64_t total = 0;
-  Duration sum{};
-
-  void Add(Duration latency);
-};
-
 // Not synchronised; used on the gateway's thread only.
 class GatewayMetrics {
  public:
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -4,6 +4,7 @@
 #include "platform/configuration_codec.h"
 #include "platform/engine_codec.h"
 #include "platform/job_codec.h"
+#include "platform/reward_codec.h"
 #include "platform/target_codec.h"
 
 #include <criterion/criterion.h>
@@ -166,12 +167,79 @@
        {"", "{", R"({"items":5})", R"({"items":[5]})",
         R"({"items":[{"id":"a"}]})",
         R"({"items":[{"id":"a","path":"/p","body":"*"}]})",
-        R"({"items":[{"id":"a","path":"/p"},{"id":"a","path":"/p"}]})"}) {
+        R"({"items":[{"id":"a","path":"/p"},{"id":"a","path":"/p"}]})",
+        R"({"items":[{"id":"a","path":"/p","scoring_endpoint":5}]})",
+        R"({"items":[{"id":"a","path":"/p","scoring_endpoint":
+            {"host":"h","path":"/s"}}]})",
+        R"({"items":[{"id":"a","path":"/p","scoring_endpoint":
+            {"id":"","host":"h","path":"/s"}}]})",
+        R"({"items":[{"id":"a","path":"/p","scoring_endpoint":
+            {"id":"r","host":"h","path":"s"}}]})",
+        R"({"items":[{"id":"a","path":"/p","scoring_endpoint":
+            {"id":"r","host":"h\r\nX: y","path":"/s"}}]})",
+        R"({"items":[{"id":"a","path":"/p","scoring_endpoint":
+            {"id":"r","host":"h","path":"/s","body":"*"}}]})"}) {
     wire::JobSubmit submit;
     cr_assert(!DecodeSubmission(invalid, &submit, &problem), "%s", invalid);
   }
 }
 
+Test(job_codec, a_scoring_endpoint_becomes_a_reward_call) {
+  wire::JobSubmit submit;
+  std::string problem;
+  cr_assert(DecodeSubmission(
+      R"({"items":[{"id":"a","path":"/p","scoring_endpoint":{"id":"40c8",
+          "host":"f.example","path":"/p/5e07?q=1","body":"3q2+7w=="}},
+          {"id":"b","path":"/p"}]})",
+      &submit, &problem));
+  cr_assert(!submit.samples(1).has_reward_call());
+  const HttpRequest request = EncodeRewardCall(submit.samples(0).reward_call());
+  cr_assert(request.method == "POST" && request.path == "/p/5e07");
+  cr_assert(request.query == "q=1" && request.body == "\xde\xad\xbe\xef");
+  cr_assert(request.headers.Get("Host") == "f.example");
+  cr_assert(request.headers.Get("Request-Attempt-Id") == "40c8");
+}
+
+Test(reward_codec, only_a_signed_success_of_the_same_call_is_a_score) {
+  HttpHeaders headers;
+  headers.Set("Request-Attempt-Id", "40c8");
+  headers.Set("Server-Stamp", "stamp");
+  cr_assert(DecodeRewardHead(200, headers, "40c8").answer ==
+            RewardAnswer::kScored);
+  cr_assert(DecodeRewardHead(200, headers, "40c8").score == "stamp");
+  cr_assert(DecodeRewardHead(200, headers, "other").answer ==
+            RewardAnswer::kMismatched);
+  cr_assert(DecodeRewardHead(500, headers, "40c8").answer ==
+            RewardAnswer::kFailed);
+  cr_assert(DecodeRewardHead(504, headers, "40c8").answer ==
+            RewardAnswer::kUnexpected);
+  for (const int refusal : {408, 421, 429, 503}) {
+    cr_assert(DecodeRewardHead(refusal, headers, "40c8").answer ==
+              RewardAnswer::kNotRun);
+  }
+  headers.Set("Not-Run", "1");
+  cr_assert(DecodeRewardHead(500, headers, "40c8").answer ==
+            RewardAnswer::kNotRun);
+  headers.Remove("Not-Run");
+  headers.Remove("Server-Stamp");
+  cr_assert(DecodeRewardHead(200, headers, "40c8").answer ==
+            RewardAnswer::kMismatched);
+}
+
+Test(job_codec, a_page_has_the_scores_of_its_results) {
+  wire::JobPage page;
+  page.set_total(1);
+  page.set_next(1);
+  wire::JobResult& result = *page.add_results();
+  result.set_id("s1");
+  result.set_state(wire::SAMPLE_COMPLETED);
+  result.set_score("stamp");
+  cr_assert(EncodePage(page) ==
+            R"({"total":1,"next_page_token":1,"results":[)"
+            R"({"id":"s1","state":"completed","text":"","versions":[],)"
+            R"("score":"stamp"}]})");
+}
+
 Test(job_codec, a_page_is_one_json_object_with_its_results_in_order) {
   wire::JobPage page;
   page.set_total(3);
