Score the samples of entry instances' rollouts

Cause: a trainer's scorer was checked in the manifest and carried with its samples, and nothing called it; every sample was delivered with a score of 0.

The instance that generated a sample calls the scorer with the complete text, through admission, router, retries and poison guard of other calls, and records text and score together. The record has no new field, so that replicas of earlier builds read it.

--- a/src/programs/entry/rollout_attempt.cc
+++ b/src/programs/entry/rollout_attempt.cc
@@ -109,6 +109,7 @@
   SetRanges(attempt.generation.ranges(), record->mutable_ranges());
   record->set_digest(attempt.generation.Digest());
   record->set_finish_reason(attempt.end.finish_reason);
+  record->set_score(attempt.score);
   return command;
 }
 
--- a/src/programs/entry/rollout_attempt.h
+++ b/src/programs/entry/rollout_attempt.h
@@ -23,6 +23,7 @@
   // Copy of generation.tokens() that other threads may read.
   std::atomic<uint32_t> tokens{0};
   GenerationEnd end;
+  double score = 0;  // Not a number if the scorer failed.
   std::atomic<bool> stopped{false};
   // The engine has finished; the sample is being recorded or returned.
   std::atomic<bool> engine_done{false};
--- a/src/programs/entry/rollout_runner.cc
+++ b/src/programs/entry/rollout_runner.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "limpethatch/process/log.h"
+#include "programs/entry/sample_scorer.h"
 
 namespace limpethatch {
 namespace {
@@ -286,7 +287,8 @@
   if (error) {
     ReturnSample(yield, *attempt,
                  attempt->stopped ? "stopped" : error.message());
-  } else {
+  } else if (attempt->assignment.scorer().empty() ||
+             ScoreSample(context_, yield, *attempt)) {
     RecordSample(yield, *attempt);
   }
   const std::lock_guard lock(mutex_);
--- a/src/programs/entry/trainer_handler.cc
+++ b/src/programs/entry/trainer_handler.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
+#include <cmath>
 
 #include "limpethatch/process/json_members.h"
 #include "limpethatch/request/digest.h"
@@ -89,7 +90,9 @@
           {"ranges", std::move(ranges)},
           {"digest", DigestToHex(sample.digest())},
           {"finish_reason", sample.finish_reason()},
-          {"score", sample.score()},
+          {"score", std::isnan(sample.score())
+                        ? boost::json::value(nullptr)
+                        : boost::json::value(sample.score())},
           {"epoch", sample.epoch()}};
 }
 
