Report a failing disk once, and name reward calls in explanations

A control instance whose disk is full gave up leadership and tried again each second, with an error line each time and nothing on its metrics. The first failure and the recovery are logged now, and limpethatch_disk_failed tells of the state between.

limpethatchctl explain leads from a sample's id to its reward calls; their log lines carry that id.

--- a/src/limpethatch/request/reward_scheduler.cc
+++ b/src/limpethatch/request/reward_scheduler.cc
@@ -107,8 +107,9 @@
                                 TimePoint now,
                                 RewardPlan* plan) {
   const wire::JobSubmit& submit = context.jobs.Find(candidate.key.job)->submit;
-  const wire::RewardCall& reward_call =
-      submit.samples(static_cast<int>(candidate.key.index)).reward_call();
+  const wire::JobSample& sample =
+      submit.samples(static_cast<int>(candidate.key.index));
+  const wire::RewardCall& reward_call = sample.reward_call();
   const wire::Route* route =
       context.routes.Match(reward_call.host(), reward_call.path());
   if (!route || route->services().empty() || !context.may_run(reward_call)) {
@@ -126,8 +127,9 @@
   call.max_failures = std::max<uint32_t>(
       {submit.max_attempts(), route->max_attempts(), uint32_t{1}});
   CallTicket ticket(*target, RequestClass::kRollout, now);
-  plan->starts.push_back({candidate.key, reward_call, std::move(target),
-                          std::move(ticket), call.max_failures});
+  plan->starts.push_back({candidate.key, sample.id(), reward_call,
+                          std::move(target), std::move(ticket),
+                          call.max_failures});
 }
 
 RoutedTargetPtr RewardScheduler::ChooseTarget(const RewardContext& context,
--- a/src/limpethatch/request/reward_scheduler.h
+++ b/src/limpethatch/request/reward_scheduler.h
@@ -30,6 +30,7 @@
 
 struct RewardStart {
   SampleKey key;
+  std::string sample;  // Its id.
   wire::RewardCall call;
   RoutedTargetPtr target;
   CallTicket ticket;
--- a/src/programs/control/fleet_metrics.cc
+++ b/src/programs/control/fleet_metrics.cc
@@ -16,6 +16,9 @@
   };
   gauge("limpethatch_leading", "1 while this instance leads.",
         consensus && consensus->leading() ? 1 : 0);
+  gauge("limpethatch_disk_failed",
+        "1 while the data disk refuses writes, as when it is full.",
+        replica_.disk_failed() ? 1 : 0);
   gauge("limpethatch_term", "Term of the last known leader.",
         consensus ? static_cast<double>(consensus->term()) : 0);
   gauge("limpethatch_commit_index", "Last committed entry.",
--- a/src/programs/control/replica_runner.cc
+++ b/src/programs/control/replica_runner.cc
@@ -84,8 +84,9 @@
     return state.error();
   }
   const wire::HardState& hard_state = state.value().hard_state;
-  Log(writer_->log_tail() == LogTail::kClean ? LogLevel::kInfo
-                                             : LogLevel::kWarning,
+  Log(disk_failed_                             ? LogLevel::kDebug
+      : writer_->log_tail() == LogTail::kClean ? LogLevel::kInfo
+                                               : LogLevel::kWarning,
       "disk_opened",
       {{"log", LogName(writer_->log_tail())},
        {"boot", hard_state.boot()},
@@ -117,12 +118,19 @@
     OnDiskFailure(error);
     return;
   }
+  if (std::exchange(disk_failed_, false)) {
+    Log(LogLevel::kInfo, "disk_usable", {{"failures", disk_failures_}});
+    disk_failures_ = 0;
+  }
   consensus_->OnPersisted(sequence, Clock::now());
   ScheduleActions();
 }
 
 void ReplicaRunner::OnDiskFailure(std::error_code error) {
-  Log(LogLevel::kError, "disk_failed", {{"error", error.message()}});
+  ++disk_failures_;
+  if (!std::exchange(disk_failed_, true)) {
+    Log(LogLevel::kError, "disk_failed", {{"error", error.message()}});
+  }
   const bool was_leading = consensus_ && consensus_->leading();
   consensus_.reset();
   writer_.reset();
--- a/src/programs/control/replica_runner.h
+++ b/src/programs/control/replica_runner.h
@@ -61,6 +61,9 @@
 
   // Null after a disk error, until the disk has been reopened.
   const Consensus* consensus() const { return consensus_.get(); }
+  // Whether the last attempt to use the disk failed. This replica then takes no
+  // part in the group.
+  bool disk_failed() const { return disk_failed_; }
   const Ledgers& ledgers() const { return *ledgers_; }
   // IP:PORT of the leader's messenger; empty if no leader is known.
   std::string LeaderEndpoint() const;
@@ -100,6 +103,8 @@
   // Identifies the present writer; callbacks of earlier ones are ignored.
   uint64_t writer_generation_ = 0;
   bool actions_scheduled_ = false;
+  bool disk_failed_ = false;
+  uint64_t disk_failures_ = 0;  // Since it was last usable.
   std::map<std::string, Endpoint> endpoints_;
   std::set<std::string> contacts_;
   std::map<std::string, TimePoint> last_contact_at_;
--- a/src/programs/control/reward_runner.cc
+++ b/src/programs/control/reward_runner.cc
@@ -75,7 +75,7 @@
   ++counters_.sent;
   Log(LogLevel::kInfo, "reward_call_started",
       {{"job", call->start.key.job},
-       {"sample", call->start.key.index},
+       {"sample", call->start.sample},
        {"call", call->start.call.id()},
        {"target", call->start.target->target.id},
        {"running_there", call->start.target->stats->outstanding()}});
@@ -227,7 +227,7 @@
   scheduler_.EndCall(call.start.key, outcome, now);
   Log(LogLevel::kInfo, "reward_call_ended",
       {{"job", call.start.key.job},
-       {"sample", call.start.key.index},
+       {"sample", call.start.sample},
        {"call", call.start.call.id()},
        {"target", call.start.target->target.id},
        {"outcome", call.stopped ? "stopped" : LogName(outcome)},
--- a/src/programs/ctl/explanation.cc
+++ b/src/programs/ctl/explanation.cc
@@ -72,6 +72,10 @@
        "the engine changed its weights, and the job takes one version only"},
       {"cannot_be_done", "the engine reported that it can never be run"},
       {"engine_error", "the engine answered with an error"},
+      {"scored", "its text was scored"},
+      {"target_error", "the target answered with an error"},
+      {"answer_of_another_request",
+       "the target sent an answer that was not to this request"},
       {"uncertain",
        "its outcome was not known when the caller had to be answered"},
       {"not_done", "the control group had no quorum; nothing was done"}};
@@ -95,6 +99,7 @@
       {"configuration_put", 3},
       {"job_submitted", 2},
       {"sample_ended", 3},
+      {"reward_call_ended", 3},
       {"attempt_failed", 2}};
   const auto found = priorities.find(event.event);
   return found == priorities.end() ? 0 : found->second;
--- a/tests/control/control_fixture.h
+++ b/tests/control/control_fixture.h
@@ -56,26 +56,8 @@
 
   // Puts a configuration with `routes` routes into force.
   void PutConfiguration(uint64_t version, int routes) {
-    wire::Envelope envelope;
-    wire::ControlRequest& request = *envelope.mutable_request();
-    request.set_id(version);
-    request.set_oldest_open(version);
-    request.set_from("operator");
-    request.set_incarnation(1);
-    request.set_reply_to(FreeEndpoint().ToString());
-    wire::FleetConfiguration& configuration = *request.mutable_command()
-                                                   ->mutable_configuration_put()
-                                                   ->mutable_configuration();
-    configuration.set_version(version);
+    const wire::Envelope envelope = ConfigurationOf(version, routes);
     const std::string service = "service-" + std::to_string(version);
-    configuration.add_services()->set_name(service);
-    for (int i = 0; i < routes; ++i) {
-      wire::Route& route = *configuration.add_routes();
-      route.set_name("r-" + UnpredictableText(i));
-      route.set_host("shop.example");
-      route.set_path_prefix("/" + UnpredictableText(i) + "/");
-      route.add_services()->set_service(service);
-    }
     // A new leader refuses changes at first. Before the first configuration,
     // any service counts as known.
     constexpr int kHandlersPerTry = 50;
@@ -88,6 +70,10 @@
       io_.run_one();
     }
   }
+  // Sends a configuration once.
+  void OfferConfiguration(uint64_t version) {
+    Receive(ConfigurationOf(version, 1));
+  }
 
   void Receive(const wire::Envelope& envelope) {
     service_->Receive(envelope.SerializeAsString());
@@ -119,10 +105,41 @@
     }
     return most;
   }
+  void RunFor(Duration time) {
+    for (const TimePoint end = Clock::now() + time; Clock::now() < end;) {
+      io_.run_one_until(end);
+    }
+  }
+  ControlService& service() { return *service_; }
   uint64_t bytes_sent() const { return messenger_.bytes_sent(); }
   boost::asio::io_context& io() { return io_; }
 
  private:
+  // Declares a service named after the version.
+  static wire::Envelope ConfigurationOf(uint64_t version, int routes) {
+    wire::Envelope envelope;
+    wire::ControlRequest& request = *envelope.mutable_request();
+    request.set_id(version);
+    request.set_oldest_open(version);
+    request.set_from("operator");
+    request.set_incarnation(1);
+    request.set_reply_to(FreeEndpoint().ToString());
+    wire::FleetConfiguration& configuration = *request.mutable_command()
+                                                   ->mutable_configuration_put()
+                                                   ->mutable_configuration();
+    configuration.set_version(version);
+    const std::string service = "service-" + std::to_string(version);
+    configuration.add_services()->set_name(service);
+    for (int i = 0; i < routes; ++i) {
+      wire::Route& route = *configuration.add_routes();
+      route.set_name("r-" + UnpredictableText(i));
+      route.set_host("shop.example");
+      route.set_path_prefix("/" + UnpredictableText(i) + "/");
+      route.add_services()->set_service(service);
+    }
+    return envelope;
+  }
+
   const std::filesystem::path folder_;
   ControlSettings settings_;
   boost::asio::io_context io_{1};
