Plan loads of weights in time linear in engines and models

Cause: for each engine and each model, the plan counted again how many engines of the service were loading.

Engines that may load are found once for each load that is chosen.

--- a/src/limpethatch/version/job_ledger.cc
+++ b/src/limpethatch/version/job_ledger.cc
@@ -242,6 +242,8 @@
   }
   std::erase_if(unscored_,
                 [&](const SampleKey& key) { return key.job == forget.job(); });
+  std::erase_if(read_jobs_,
+                [&](const auto& entry) { return entry.first == forget.job(); });
   jobs_.erase(found);
   std::erase(order_, forget.job());
   return MakeOutcome(wire::JobOutcome::APPLIED);
@@ -339,12 +341,15 @@
   if (!job) {
     return page;
   }
-  Job deserialised;
+  page.set_known(true);
+  if (job->serialised && after >= job->serialised_positions) {
+    page.set_total(job->serialised_samples);
+    page.set_next(after);
+    return page;
+  }
   if (job->serialised) {
-    deserialised = Deserialise(*job);
-    job = &deserialised;
+    job = &ReadEnded(id, *job);
   }
-  page.set_known(true);
   page.set_total(job->samples.size());
   size_t bytes = 0;
   uint64_t position = after;
@@ -399,8 +404,24 @@
   return job.serialised ? job.serialised : Serialise(job);
 }
 
+const Job& JobLedger::ReadEnded(std::string_view id, const Job& job) const {
+  const auto found =
+      std::find_if(read_jobs_.begin(), read_jobs_.end(),
+                   [&](const auto& entry) { return entry.first == id; });
+  if (found != read_jobs_.end()) {
+    read_jobs_.splice(read_jobs_.begin(), read_jobs_, found);
+  } else {
+    read_jobs_.emplace_front(id, Deserialise(job));
+    if (read_jobs_.size() > kMaxReadJobs) {
+      read_jobs_.pop_back();
+    }
+  }
+  return read_jobs_.front().second;
+}
+
 void JobLedger::ReplaceBySerialised(Job& job) {
   job.serialised = Serialise(job);
+  job.serialised_samples = job.samples.size();
   job.serialised_positions = job.listed.size();
   ReleaseSamples(&job.submit);
   std::vector<JobSampleRecord>().swap(job.samples);
@@ -439,6 +460,7 @@
     job.ended = true;
     job.serialised = serialised;
     job.serialised_positions = static_cast<size_t>(saved.listed_size());
+    job.serialised_samples = static_cast<size_t>(saved.samples_size());
     job.submit.Swap(saved.mutable_submit());
     ReleaseSamples(&job.submit);
   }
--- a/src/limpethatch/version/job_ledger.h
+++ b/src/limpethatch/version/job_ledger.h
@@ -15,11 +15,13 @@
 #include <compare>
 #include <cstdint>
 #include <deque>
+#include <list>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "fleet.pb.h"
@@ -71,6 +73,7 @@
   // results.
   ByteRope::Piece serialised;
   size_t serialised_positions = 0;
+  size_t serialised_samples = 0;
 
   size_t positions() const {
     return serialised ? serialised_positions : listed.size();
@@ -87,6 +90,8 @@
  public:
   // Maximum text in one page, unless its first result alone is longer.
   static constexpr size_t kMaxPageBytes = 900UL * 1024;
+  // Ended jobs that are kept deserialised for further reads.
+  static constexpr size_t kMaxReadJobs = 4;
 
   wire::JobOutcome Apply(const wire::JobSubmit& submit);
   wire::JobOutcome Apply(const wire::JobEnd& end);
@@ -125,6 +130,8 @@
 
   // Copies the text that an earlier job recorded under the same sample id.
   void CarryOver(Job& job, uint32_t index, Decompressed* deserialised);
+  // The ended job, deserialised. Valid until the next call or change.
+  const Job& ReadEnded(std::string_view id, const Job& job) const;
   static void ReplaceBySerialised(Job& job);
   static Job Deserialise(const Job& job);
   void ListSample(Job& job, uint32_t index, wire::SampleState state);
@@ -141,6 +148,8 @@
   std::map<std::string, SampleKey, std::less<>>
       latest_by_sample_;  // By sample id.
   std::set<SampleKey> unscored_;
+  // Most recently read first. Not part of the replicated state.
+  mutable std::list<std::pair<std::string, Job>> read_jobs_;
 };
 
 }  // namespace limpethatch
--- a/src/limpethatch/version/weight_rollout.cc
+++ b/src/limpethatch/version/weight_rollout.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -37,74 +38,92 @@
     const std::string& model,
     uint64_t newest,
     size_t models,
-    EngineTable& engine_table,
-    TimePoint now) const {
-  std::map<std::string, size_t> newest_by_zone;
-  for (const auto& [id, engine] : engine_table.engines()) {
-    const auto found = engine.models.find(model);
-    newest_by_zone[engine.zone] +=
-        found != engine.models.end() &&
-                std::max(found->second.version,
-                         found->second.loading_version) >= newest
-            ? 1
-            : 0;
-  }
-  LoadCandidate best;
+    const std::vector<EngineState*>& may_load,
+    const EngineTable& engine_table) const {
+  std::map<std::string_view, size_t> newest_by_zone;
   size_t engines = 0;
   size_t on_newest = 0;
   size_t usable = 0;
-  for (auto& [id, engine] : engine_table.engines()) {
+  for (const auto& [id, engine] : engine_table.engines()) {
     const auto found = engine.models.find(model);
     if (found == engine.models.end()) {
       continue;
     }
+    const uint64_t held_version =
+        std::max(found->second.version, found->second.loading_version);
     ++engines;
+    usable += held_version + options_.usable_lag < newest ? 0 : 1;
+    if (held_version >= newest) {
+      ++on_newest;
+      ++newest_by_zone[engine.zone];
+    }
+  }
+  const double share =
+      std::min(options_.max_newest_share, 1.0 / static_cast<double>(models));
+  const auto max_on_newest =
+      static_cast<size_t>(std::ceil(static_cast<double>(engines) * share));
+  if (on_newest >= max_on_newest) {
+    return std::nullopt;
+  }
+  LoadCandidate best;
+  for (EngineState* engine : may_load) {
+    const auto found = engine->models.find(model);
+    if (found == engine->models.end()) {
+      continue;
+    }
     const uint64_t held_version =
         std::max(found->second.version, found->second.loading_version);
-    const bool stale = held_version + options_.usable_lag < newest;
-    usable += stale ? 0 : 1;
-    on_newest += held_version >= newest ? 1 : 0;
-    const auto retry = retry_at_.find(id);
-    if (held_version >= newest || !MayLoad(engine, engine_table, now) ||
-        (retry != retry_at_.end() && now < retry->second)) {
+    if (held_version >= newest) {
       continue;
     }
-    const auto running_count = engine.running_by_model.find(model);
+    const bool stale = held_version + options_.usable_lag < newest;
+    const auto running_count = engine->running_by_model.find(model);
     const uint32_t running_samples =
-        running_count == engine.running_by_model.end() ? 0
-                                                       : running_count->second;
-    const size_t in_zone = newest_by_zone[engine.zone];
+        running_count == engine->running_by_model.end() ? 0
+                                                        : running_count->second;
+    const size_t in_zone = newest_by_zone[engine->zone];
     if (!best.engine ||
         std::tuple(!stale, in_zone, running_samples) <
             std::tuple(!best.stale, best.in_zone, best.running)) {
-      best = {stale, in_zone, running_samples, &engine, model, newest, 0};
+      best = {stale, in_zone, running_samples, engine, model, newest, 0};
     }
   }
-  const double share =
-      std::min(options_.max_newest_share, 1.0 / static_cast<double>(models));
-  const auto max_on_newest =
-      static_cast<size_t>(std::ceil(static_cast<double>(engines) * share));
-  if (!best.engine || on_newest >= max_on_newest) {
+  if (!best.engine) {
     return std::nullopt;
   }
   best.usable = usable;
   return best;
 }
 
-bool WeightRollout::MayLoad(const EngineState& engine,
-                            const EngineTable& engine_table,
-                            TimePoint now) const {
-  size_t engines = 0;
-  size_t loading = 0;
-  for (const auto& [id, other] : engine_table.engines()) {
-    if (other.service == engine.service) {
-      ++engines;
-      loading += IsLoading(other, now) ? 1 : 0;
+WeightRollout::LoadsByService WeightRollout::CountLoads(
+    const EngineTable& engine_table,
+    TimePoint now) {
+  LoadsByService loads;
+  for (const auto& [id, engine] : engine_table.engines()) {
+    ServiceLoads& service = loads[engine.service];
+    ++service.engines;
+    service.loading += IsLoading(engine, now) ? 1 : 0;
+  }
+  return loads;
+}
+
+std::vector<EngineState*> WeightRollout::EnginesThatMayLoad(
+    const LoadsByService& loads,
+    EngineTable& engine_table,
+    TimePoint now) const {
+  std::vector<EngineState*> may_load;
+  for (auto& [id, engine] : engine_table.engines()) {
+    const ServiceLoads& service = loads.find(engine.service)->second;
+    const auto max_loading = static_cast<size_t>(
+        std::ceil(static_cast<double>(service.engines) * options_.load_share));
+    const auto retry = retry_at_.find(id);
+    if (service.loading < max_loading && !IsLoading(engine, now) &&
+        engine.Usable(now) &&
+        (retry == retry_at_.end() || now >= retry->second)) {
+      may_load.push_back(&engine);
     }
   }
-  const auto max_loading = static_cast<size_t>(
-      std::ceil(static_cast<double>(engines) * options_.load_share));
-  return loading < max_loading && !IsLoading(engine, now) && engine.Usable(now);
+  return may_load;
 }
 
 std::vector<WeightLoad> WeightRollout::Plan(
@@ -114,10 +133,15 @@
   ExpireLoads(engine_table, now);
   std::vector<WeightLoad> loads;
   while (true) {
+    const std::vector<EngineState*> may_load =
+        EnginesThatMayLoad(CountLoads(engine_table, now), engine_table, now);
+    if (may_load.empty()) {
+      return loads;
+    }
     std::optional<LoadCandidate> next;
     for (const auto& [model, version] : newest) {
       const auto candidate =
-          FindBestLoad(model, version, newest.size(), engine_table, now);
+          FindBestLoad(model, version, newest.size(), may_load, engine_table);
       if (candidate && (!next || candidate->usable < next->usable)) {
         next = candidate;
       }
--- a/src/limpethatch/version/weight_rollout.h
+++ b/src/limpethatch/version/weight_rollout.h
@@ -79,15 +79,27 @@
     size_t usable = 0;  // Engines that have or load a usable version.
   };
 
-  // The engine that should load the model next, if any.
-  std::optional<LoadCandidate> FindBestLoad(const std::string& model,
-                                            uint64_t newest,
-                                            size_t models,
-                                            EngineTable& engine_table,
-                                            TimePoint now) const;
-  bool MayLoad(const EngineState& engine,
-               const EngineTable& engine_table,
-               TimePoint now) const;
+  // Engines of one service.
+  struct ServiceLoads {
+    size_t engines = 0;
+    size_t loading = 0;
+  };
+  using LoadsByService = std::map<std::string, ServiceLoads, std::less<>>;
+
+  // The engine that should load the model next, if any. `may_load` are the
+  // engines that may load now.
+  std::optional<LoadCandidate> FindBestLoad(
+      const std::string& model,
+      uint64_t newest,
+      size_t models,
+      const std::vector<EngineState*>& may_load,
+      const EngineTable& engine_table) const;
+  static LoadsByService CountLoads(const EngineTable& engine_table,
+                                   TimePoint now);
+  // Takes each engine into account once, however many models there are.
+  std::vector<EngineState*> EnginesThatMayLoad(const LoadsByService& loads,
+                                               EngineTable& engine_table,
+                                               TimePoint now) const;
   void ExpireLoads(EngineTable& engine_table, TimePoint now);
 
   const WeightRolloutOptions options_;
--- a/tests/version/job_ledger_test.cc
+++ b/tests/version/job_ledger_test.cc
@@ -184,6 +184,42 @@
 
 // Once listed, a result keeps its position and content, whatever commands
 // follow, and also across a snapshot.
+// Pattern: clients read ended jobs all day, also behind the last result.
+Test(job_ledger, ended_jobs_are_read_from_any_position) {
+  JobLedger ledger;
+  constexpr int kJobs = 6;
+  for (int i = 0; i < kJobs; ++i) {
+    const std::string job = "job" + std::to_string(i);
+    ledger.Apply(SubmitOf(job, 3, job));
+    ledger.Apply(AdvanceOf(job, 1, 0, {job}, {2}, wire::SAMPLE_COMPLETED));
+    ledger.Apply(AdvanceOf(job, 0, 0, {"x"}, {2}, wire::SAMPLE_COMPLETED));
+    wire::JobEnd end;
+    end.set_job(job);
+    ledger.Apply(end);
+  }
+  wire::FleetSnapshot snapshot;
+  ledger.Save(&snapshot);
+  JobLedger restored;
+  restored.Load(snapshot);
+  for (const JobLedger* each : {&ledger, &restored}) {
+    for (int i = 0; i < 3 * kJobs; ++i) {
+      const std::string job = "job" + std::to_string(i % kJobs);
+      const wire::JobPage first = each->Page(job, 0);
+      cr_assert(first.results_size() == 2 && first.total() == 3);
+      cr_assert(first.results(0).text() == job);
+      const wire::JobPage second = each->Page(job, 1);
+      cr_assert(second.results_size() == 1 && second.next() == 2);
+      const wire::JobPage end = each->Page(job, 2);
+      cr_assert(end.known() && end.total() == 3 && end.results().empty());
+      cr_assert(end.next() == 2);
+    }
+  }
+  wire::JobForget forget;
+  forget.set_job("job5");
+  ledger.Apply(forget);
+  cr_assert(!ledger.Page("job5", 0).known());
+}
+
 Test(job_ledger, listed_positions_never_change) {
   cr_assert(rc::check("listed positions never change", [] {
     JobLedger ledger;
--- a/tests/version/weight_rollout_test.cc
+++ b/tests/version/weight_rollout_test.cc
@@ -154,4 +154,21 @@
   cr_assert(engine.ServableVersion("model0", fleet.now + seconds(1)) == 2);
 }
 
+// Pattern: all trainers name a version at the same moment. The time of a plan
+// grew with the squares of engines and models; the limit is some hundred times
+// what it takes now.
+Test(weight_rollout,
+     many_engines_and_models_are_planned_in_little_time,
+     .timeout = 60) {
+  constexpr int kEngines = 890;
+  constexpr int kModels = 8;
+  FakeFleet fleet(kEngines, kModels);
+  for (int m = 0; m < kModels; ++m) {
+    fleet.newest["model" + std::to_string(m)] = 2;
+  }
+  const std::vector<WeightLoad> loads =
+      fleet.rollout.Plan(fleet.newest, fleet.engine_table, fleet.now);
+  cr_assert(loads.size() == kEngines / 5);
+}
+
 }  // namespace limpethatch
