Let blank replicas outside a group greet rarely

Cause: a control instance with a blank disk greeted every other one with each heartbeat. Once a peer has named the members of a group, a blank replica greets twice a second, which is enough to learn that it was added.

Test: greetings of a replica with 19 contacts, before and after it hears of a group; it fails on the earlier code, which sends the same number.

--- a/src/limpethatch/process/consensus.cc
+++ b/src/limpethatch/process/consensus.cc
@@ -38,7 +38,7 @@
   if (heartbeat_due) {
     next_heartbeat_at_ = now + options_.heartbeat;
     FoundGroupIfAllBlank();
-    SendGreetings();
+    SendGreetings(now);
     commit_sync_due_ =
         commit_index_ > hard_state_.commit() && in_flight_.empty();
   }
--- a/src/limpethatch/process/consensus.h
+++ b/src/limpethatch/process/consensus.h
@@ -209,7 +209,7 @@
   bool RecordBoot(const wire::ConsensusMessage& message);
   void OnGreeting(const wire::ConsensusMessage& message);
   void OnGreetingReply(const wire::ConsensusMessage& message, TimePoint now);
-  void SendGreetings();
+  void SendGreetings(TimePoint now);
   void FoundGroupIfAllBlank();
   void ReplaceDiskIdentity(TimePoint now);
   bool IsBlank() const;
@@ -256,6 +256,9 @@
   // Peers that have recorded this replica's boot on their disks.
   std::set<std::string> peers_knowing_boot_;
   std::set<std::string> contacts_;
+  // A peer has reported the members of a group, so that none is to be founded.
+  bool group_exists_ = false;
+  TimePoint next_blank_greeting_at_;
   uint64_t reported_members_index_ = 0;
 
   // Index of the snapshot that is being received; 0 if none is.
--- a/src/limpethatch/process/consensus_members.cc
+++ b/src/limpethatch/process/consensus_members.cc
@@ -1,5 +1,6 @@
 // Members, their disk identities, and the founding of the group.
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "limpethatch/process/consensus.h"
@@ -7,6 +8,10 @@
 namespace limpethatch {
 namespace {
 
+// Time between the greetings of a blank replica outside a group. Once it is
+// added, it learns so from an answer to one of them.
+constexpr Duration kBlankGreetingInterval = std::chrono::milliseconds(500);
+
 wire::Member* Find(wire::Members* members, const std::string& id) {
   for (wire::Member& member : *members->mutable_members()) {
     if (member.id() == id) {
@@ -222,6 +227,7 @@
   }
   peers_knowing_boot_.insert(message.from());
   const auto& sender_members = reply.members().members();
+  group_exists_ = group_exists_ || !sender_members.empty();
   const bool is_listed = std::any_of(
       sender_members.begin(), sender_members.end(), [&](const auto& member) {
         return member.id() == options_.id &&
@@ -233,7 +239,13 @@
   }
 }
 
-void Consensus::SendGreetings() {
+void Consensus::SendGreetings(TimePoint now) {
+  // A blank replica outside a group only waits for the day when it is added.
+  const bool greets_all =
+      IsBlank() && (!group_exists_ || now >= next_blank_greeting_at_);
+  if (greets_all) {
+    next_blank_greeting_at_ = now + kBlankGreetingInterval;
+  }
   std::set<std::string> to = contacts_;
   for (const wire::Member& replica : options_.replicas) {
     to.insert(replica.id());
@@ -243,7 +255,7 @@
   }
   to.erase(options_.id);
   for (const std::string& peer : to) {
-    if (IsBlank() || !peers_knowing_boot_.contains(peer)) {
+    if (greets_all || !peers_knowing_boot_.contains(peer)) {
       wire::ConsensusMessage message = NewMessage();
       message.mutable_greeting();
       Send(peer, std::move(message));
--- a/tests/process/consensus_disk_test.cc
+++ b/tests/process/consensus_disk_test.cc
@@ -1,6 +1,8 @@
 // Behaviour of a replica whose disk is slow, full, lost, damaged or restored.
 #include <chrono>
+#include <random>
 #include <string>
+#include <variant>
 
 #include "limpethatch/process/consensus.h"
 #include "process/commit_commands.h"
@@ -229,4 +231,48 @@
   cr_assert_str_empty(simulation.violation().c_str());
 }
 
+// Pattern: many instances have a disk and few are members. The others greeted
+// everyone with each heartbeat, which cost the group messages that grew with
+// the square of the instances.
+Test(consensus_disk, a_blank_replica_outside_a_group_greets_rarely) {
+  constexpr int kContacts = 19;
+  ConsensusOptions options;
+  options.id = "blank";
+  DurableState state;
+  state.hard_state.set_disk(7);
+  state.hard_state.set_session(8);
+  const TimePoint start{std::chrono::hours(1)};
+  Consensus consensus(options, state, std::mt19937_64(1), start);
+  for (int i = 0; i < kContacts; ++i) {
+    consensus.AddContact("peer" + std::to_string(i));
+  }
+  const auto run = [&](TimePoint from, Duration time) {
+    size_t greetings = 0;
+    for (TimePoint now = from; now < from + time; now += milliseconds(10)) {
+      consensus.Tick(now);
+      for (const ConsensusAction& action : consensus.TakeActions(now)) {
+        const auto* send = std::get_if<SendAction>(&action);
+        greetings += send && send->message.has_greeting() ? 1 : 0;
+        if (const auto* persist = std::get_if<PersistAction>(&action)) {
+          consensus.OnPersisted(persist->sequence, now);
+        }
+      }
+    }
+    return greetings;
+  };
+  const size_t before = run(start, seconds(5));
+  wire::ConsensusMessage known;
+  wire::GreetingReply& reply = *known.mutable_greeting_reply();
+  reply.set_disk(7);
+  reply.set_session(8);
+  reply.mutable_members()->add_members()->set_id("peer0");
+  for (int i = 0; i < kContacts; ++i) {
+    known.set_from("peer" + std::to_string(i));
+    consensus.Receive(known, start + seconds(5));
+  }
+  const size_t after = run(start + seconds(5), seconds(5));
+  cr_assert(after <= 11 * kContacts && after >= 5 * kContacts, "%zu", after);
+  cr_assert(after * 5 <= before, "%zu greetings, %zu before", after, before);
+}
+
 }  // namespace limpethatch
