Send digests to serving control instances, and point callers at them

Digests now say whether their sender serves, that is whether its state is known to be recent. Targets, streams and relays go to serving instances only; the others exchange signs of life with these, twice a second. An instance that begins to serve is sent all targets. Peers that do not say so (earlier releases) are treated as serving. Gateways are told of serving instances only.

--- a/src/limpethatch/connection/fleet_interface.h
+++ b/src/limpethatch/connection/fleet_interface.h
@@ -12,6 +12,7 @@
 #include "limpethatch/connection/http_server.h"
 #include "limpethatch/connection/yield.h"
 #include "limpethatch/process/clock.h"
+#include "limpethatch/process/endpoint.h"
 #include "limpethatch/request/route_table.h"
 
 namespace limpethatch {
@@ -43,6 +44,11 @@
   // now.
   virtual std::optional<wire::ConfigurationReply> ReadConfiguration(
       Yield yield) = 0;
+  // The address at which this instance takes calls.
+  virtual Endpoint CallAddress() const = 0;
+  // The address of an instance whose state is recent, if the state of this one
+  // is not and it knows another.
+  virtual std::optional<Endpoint> BetterInstance() const = 0;
   // Returns true if the configuration declares the service, or if no
   // configuration is known yet.
   virtual bool KnowsService(std::string_view service) const = 0;
--- a/src/programs/control/fleet_members.cc
+++ b/src/programs/control/fleet_members.cc
@@ -14,6 +14,10 @@
 // A voter that was silent for this long is replaced if a live instance is
 // available.
 constexpr Duration kReplacementTimeout = milliseconds(2500);
+// Of the periods of digests, one in this many includes the instances that do
+// not serve gateways and targets. Half of the time after which an instance
+// counts as silent.
+constexpr uint64_t kPeriodsPerSignOfLife = 2;
 
 }  // namespace
 
@@ -26,6 +30,7 @@
   self.set_zone(settings_.process.zone);
   self.set_stores(true);
   self.set_log_format(static_cast<uint32_t>(kNewestLogFormat));
+  self.set_serving(HasQuorumContact(now));
   if (IsActiveLeader(now)) {
     *digest.mutable_target_rates() = EncodeRateLimits();
   }
@@ -43,6 +48,7 @@
 
 void FleetService::SendDigests(TimePoint now) {
   wire::ControlDigest digest = MakeDigest(now);
+  wire::ControlDigest sign_of_life = digest;
   for (const std::string& id : std::exchange(pending_digest_targets_, {})) {
     const auto found = targets_.entries().find(id);
     if (found != targets_.entries().end()) {
@@ -54,7 +60,23 @@
     *digest.add_stream_origins() = std::move(origin);
   }
   *digest.mutable_relays() = RelaysForPeers();
+  const bool sign_of_life_due = digests_++ % kPeriodsPerSignOfLife == 0;
+  if (!digest.sender().serving() && KnowsServingPeer(now) &&
+      !sign_of_life_due) {
+    return;
+  }
   Broadcast(digest);
+  if (!digest.sender().serving() || !sign_of_life_due) {
+    return;
+  }
+  wire::Envelope envelope;
+  *envelope.mutable_control_digest() = std::move(sign_of_life);
+  const std::string bytes = envelope.SerializeAsString();
+  for (const auto& [id, peer] : peers_) {
+    if (!MayServe(peer)) {
+      SendTo(peer, bytes);
+    }
+  }
 }
 
 void FleetService::MarkSilentPeers(TimePoint now) {
@@ -67,18 +89,58 @@
   }
 }
 
+bool FleetService::MayServe(const Peer& peer) {
+  return !peer.record.has_serving() || peer.record.serving();
+}
+
+bool FleetService::KnowsServingPeer(TimePoint now) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    return entry.second.record.serving() &&
+           now - entry.second.last_contact_at < kAliveTimeout;
+  });
+}
+
+void FleetService::SendTo(const Peer& peer, const std::string& bytes) {
+  Endpoint endpoint;
+  if (ParseEndpoint(peer.record.endpoint(), &endpoint)) {
+    messenger_.Send(endpoint, bytes);
+  }
+}
+
 void FleetService::Broadcast(const wire::ControlDigest& digest) {
   wire::Envelope envelope;
   *envelope.mutable_control_digest() = digest;
   const std::string bytes = envelope.SerializeAsString();
+  const bool to_all =
+      !digest.sender().serving() && !KnowsServingPeer(Clock::now());
   for (const auto& [id, peer] : peers_) {
-    Endpoint endpoint;
-    if (ParseEndpoint(peer.record.endpoint(), &endpoint)) {
-      messenger_.Send(endpoint, bytes);
+    if (to_all || MayServe(peer)) {
+      SendTo(peer, bytes);
     }
   }
 }
 
+std::optional<Endpoint> FleetService::BetterInstance() const {
+  const TimePoint now = Clock::now();
+  if (HasQuorumContact(now)) {
+    return std::nullopt;
+  }
+  std::vector<const Peer*> serving;
+  for (const auto& [id, peer] : peers_) {
+    if (peer.record.serving() && now - peer.last_contact_at < kAliveTimeout) {
+      serving.push_back(&peer);
+    }
+  }
+  Endpoint messenger;
+  if (serving.empty() ||
+      !ParseEndpoint(serving[redirects_++ % serving.size()]->record.endpoint(),
+                     &messenger)) {
+    return std::nullopt;
+  }
+  // All instances of a deployment take calls at the same port.
+  return Endpoint{messenger.host, settings_.api.port};
+}
+
 void FleetService::Receive(const wire::ControlDigest& digest) {
   const TimePoint now = Clock::now();
   for (const wire::StreamOrigin& origin : digest.stream_origins()) {
@@ -87,6 +149,15 @@
   const auto known = peers_.find(digest.sender().id());
   const bool was_silent = known == peers_.end() ||
                           now - known->second.last_contact_at > kAliveTimeout;
+  // It needs all targets now.
+  const bool starts_to_serve = known != peers_.end() &&
+                               digest.sender().serving() &&
+                               !known->second.record.serving();
+  if (starts_to_serve && !was_silent) {
+    for (const auto& [id, entry] : targets_.entries()) {
+      pending_digest_targets_.insert(id);
+    }
+  }
   if (was_silent) {
     Log(LogLevel::kInfo, "control_instance_reachable",
         {{"id", digest.sender().id()}, {"name", digest.sender().name()}});
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -66,6 +66,8 @@
       const wire::FleetConfiguration& configuration) override;
   std::optional<wire::ConfigurationReply> ReadConfiguration(
       Yield yield) override;
+  Endpoint CallAddress() const override { return settings_.api; }
+  std::optional<Endpoint> BetterInstance() const override;
   bool KnowsService(std::string_view service) const override;
   bool Announce(const wire::TargetRecord& target) override;
   void OnAnnouncementRefused(std::string_view id,
@@ -129,7 +131,14 @@
                   TimePoint last_contact_at);
   void MarkSilentPeers(TimePoint now);
   void SendDigests(TimePoint now);
+  // Sends the digest to the instances that serve gateways and targets; the
+  // others need nothing but signs of life.
   void Broadcast(const wire::ControlDigest& digest);
+  void SendTo(const Peer& peer, const std::string& bytes);
+  // Whether gateways and targets may use the instance, as far as known.
+  static bool MayServe(const Peer& peer);
+  // Whether an instance other than this one is alive and serving.
+  bool KnowsServingPeer(TimePoint now) const;
   wire::ControlDigest MakeDigest(TimePoint now) const;
   void ReconcileMembers(TimePoint now);
   // Proposes that commands may have the newest format, once all members apply
@@ -253,10 +262,12 @@
   // served before all targets have announced themselves again.
   FileSystemDisk disk_;
   bool save_scheduled_ = false;
+  uint64_t digests_ = 0;  // Periods in which digests were sent.
   TargetRegistry targets_;
   // Random for each start: revisions of targets_ are comparable only within one
   // epoch.
   const uint64_t epoch_;
+  mutable uint64_t redirects_ = 0;  // Calls sent to other instances.
   uint64_t announcements_refused_ = 0;
   TimePoint refusal_logged_at_;
   // Ids of the targets to include in the next digest.
--- a/src/programs/control/fleet_targets.cc
+++ b/src/programs/control/fleet_targets.cc
@@ -220,7 +220,7 @@
   *news.mutable_suspects() = ledger().crashes().LiveSuspects();
   news.add_control_endpoints(settings_.peers.ToString());
   for (const auto& [id, peer] : peers_) {
-    if (now - peer.last_contact_at < kAliveTimeout) {
+    if (MayServe(peer) && now - peer.last_contact_at < kAliveTimeout) {
       news.add_control_endpoints(peer.record.endpoint());
     }
   }
--- a/tests/control/fleet_fixture.h
+++ b/tests/control/fleet_fixture.h
@@ -30,24 +30,24 @@
 
 namespace limpethatch {
 
-// One of three replicas.
+// One of three replicas, or an instance beside them that is not a member.
 class ControlInstance {
  public:
   ControlInstance(const std::vector<Endpoint>& group,
-                  size_t index,
+                  const Endpoint& endpoint,
                   const std::filesystem::path& folder) {
-    settings_.process.id = group[index].host;
-    settings_.peers = group[index];
-    settings_.data_folder = folder / std::to_string(index);
+    settings_.process.id = endpoint.host;
+    settings_.peers = endpoint;
+    settings_.data_folder = folder / endpoint.host;
     std::filesystem::create_directories(settings_.data_folder);
     settings_.fleet = true;
-    settings_.name = "control-" + std::to_string(index);
+    settings_.name = "control-" + endpoint.host;
     settings_.api = FreeEndpoint();
-    for (const Endpoint& endpoint : group) {
-      settings_.seeds.push_back(endpoint);
+    for (const Endpoint& member : group) {
+      settings_.seeds.push_back(member);
       wire::Member& replica = settings_.replicas.emplace_back();
-      replica.set_id(endpoint.host);
-      replica.set_endpoint(endpoint.ToString());
+      replica.set_id(member.host);
+      replica.set_endpoint(member.ToString());
     }
     service_ =
         std::make_unique<ControlService>(io_, timers_, messenger_, settings_);
@@ -67,6 +67,8 @@
     }
   }
   bool running() const { return thread_.joinable(); }
+  const Endpoint& api() const { return settings_.api; }
+  uint64_t bytes_sent() const { return messenger_.bytes_sent(); }
 
   // Runs `action` on the instance's thread.
   template <typename Result>
@@ -183,6 +185,22 @@
   std::thread thread_;
 };
 
+// Sends raw bytes on a new connection and returns the bytes of the first read;
+// empty on an error.
+inline std::string ExchangeBytes(const Endpoint& to, const std::string& bytes) {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  boost::system::error_code error;
+  socket.connect({boost::asio::ip::make_address_v4(to.host), to.port}, error);
+  if (error) {
+    return "";
+  }
+  boost::asio::write(socket, boost::asio::buffer(bytes), error);
+  std::string answer(16UL * 1024, '\0');
+  answer.resize(socket.read_some(boost::asio::buffer(answer), error));
+  return answer;
+}
+
 // A gateway on a thread of its own.
 class GatewayInstance {
  public:
@@ -209,29 +227,15 @@
   // Sends raw bytes on a new connection and returns the bytes of the first
   // read; empty on an error.
   std::string Call(const std::string& bytes) const {
-    return Exchange(settings_.callers, bytes);
+    return ExchangeBytes(settings_.callers, bytes);
   }
   bool Ready() const {
-    return Exchange(settings_.readiness,
-                    "GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+    return ExchangeBytes(settings_.readiness,
+                         "GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
                .find(" 200 ") != std::string::npos;
   }
 
  private:
-  static std::string Exchange(const Endpoint& to, const std::string& bytes) {
-    boost::asio::io_context io;
-    boost::asio::ip::tcp::socket socket(io);
-    boost::system::error_code error;
-    socket.connect({boost::asio::ip::make_address_v4(to.host), to.port}, error);
-    if (error) {
-      return "";
-    }
-    boost::asio::write(socket, boost::asio::buffer(bytes), error);
-    std::string answer(16UL * 1024, '\0');
-    answer.resize(socket.read_some(boost::asio::buffer(answer), error));
-    return answer;
-  }
-
   GatewaySettings settings_;
   std::unique_ptr<Gateway> gateway_;
   std::thread thread_;
@@ -248,12 +252,15 @@
     for (const char* host : {"127.0.0.2", "127.0.0.3", "127.0.0.4"}) {
       group_.push_back({host, port});
     }
-    for (size_t i = 0; i < group_.size(); ++i) {
-      control_.push_back(std::make_unique<ControlInstance>(group_, i, folder_));
+    for (const Endpoint& endpoint : group_) {
+      control_.push_back(
+          std::make_unique<ControlInstance>(group_, endpoint, folder_));
     }
   }
   ~FleetFixture() {
-    raise(SIGTERM);  // Stops the gateways.
+    if (!gateways.empty()) {
+      raise(SIGTERM);  // Stops the gateways.
+    }
     gateways.clear();
     targets.clear();
     control_.clear();
@@ -303,6 +310,13 @@
     }
   }
 
+  // An instance that is not a member of the group.
+  std::unique_ptr<ControlInstance> MakeInstanceBeside(const std::string& host) {
+    return std::make_unique<ControlInstance>(
+        group_, Endpoint{host, group_[0].port}, folder_);
+  }
+  const std::vector<Endpoint>& group() const { return group_; }
+
   void AddTarget(const std::string& id) {
     targets.push_back(std::make_unique<CrashingTarget>(
         id, [this](const wire::TargetRecord& record) {
