Answer what is still active at the end of a planned stop

Cause (from an operator's report): requests that a gateway took late in its grace were passed on, and cut off without an answer when its time to stop had passed, among them requests that may not be repeated.

At the end of that time calls that still wait for targets are answered at once, 503 if they have provably not run and 502 otherwise, before the process exits, 0.4 s later at most.

Test: a target stays silent while the gateway stops; the caller gets 502.

--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -36,6 +36,9 @@
 // Size of the header fields in which a relayed request may exceed the caller's.
 constexpr size_t kRelayHeaderBytes = 256;
 constexpr int kUnavailable = 503;
+// Requests that are still active at the end of an orderly stop are answered
+// within this time; several times the period at which calls check for it.
+constexpr Duration kFinalAnswerTime = milliseconds(400);
 
 ChangeOutcome ToChangeOutcome(ControlCertainty certainty) {
   switch (certainty) {
@@ -382,10 +385,16 @@
   const bool idle = caller_server_.active_requests() == 0 &&
                     caller_server_.open_connections() == 0 &&
                     relay_server_.active_requests() == 0;
-  if (idle || Clock::now() >= deadline) {
+  const TimePoint now = Clock::now();
+  if (idle || now >= deadline + kFinalAnswerTime) {
     io_.stop();
     return;
   }
+  if (now >= deadline && !std::exchange(live_call_context_.ending, true)) {
+    Log(LogLevel::kWarning, "active_requests_given_up",
+        {{"active", caller_server_.active_requests()},
+         {"for_gateways", relay_server_.active_requests()}});
+  }
   timers_.After(kExitCheckPeriod,
                 [this, deadline](TimePoint) { ExitWhenIdle(deadline); });
 }
--- a/src/programs/gateway/gateway_settings.h
+++ b/src/programs/gateway/gateway_settings.h
@@ -19,8 +19,8 @@
   // Addresses of some control instances. Only the hosts are used, as control
   // instances receive messages on the same port as this process.
   std::vector<Endpoint> seeds;
-  // An orderly stop takes at most this long; requests that are still active
-  // then are dropped.
+  // An orderly stop takes at most a little longer than this; requests that are
+  // still active then are answered with what is known of them.
   Duration stop_time = std::chrono::seconds(7);
   // New connections are accepted for this long after the readiness check starts
   // to fail, as the platform still sends some.
--- a/src/programs/gateway/live_call.cc
+++ b/src/programs/gateway/live_call.cc
@@ -93,6 +93,10 @@
         return;
       }
       const TimePoint now = Clock::now();
+      if (context_.ending) {
+        RespondWithFailure(now);
+        return;
+      }
       is_refused_ = context_.suspects.IsRefused(state_->content);
       if (permitted_ && now < deadline_ && !is_refused_) {
         if (now >= permitted_->send_at) {
@@ -274,6 +278,7 @@
     const std::string reason = target_failure            ? "target_error"
                                : is_refused_             ? "crashes_targets"
                                : deadline_passed         ? "deadline"
+                               : context_.ending         ? "process_ends"
                                : permit_wait_ && not_run ? "rate_limit"
                                : must_resume_ && !software_version_
                                    ? "unknown_software_version"
--- a/src/programs/gateway/live_call_context.h
+++ b/src/programs/gateway/live_call_context.h
@@ -32,6 +32,8 @@
   SuspectRequests& suspects;
   ServiceReach& reach;
   RelayChoice& relays;
+  // The process ends: calls that still wait for targets are answered now.
+  bool ending = false;
   // Of the bodies of answers that are being read.
   size_t buffered_answer_bytes = 0;
 };
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -854,6 +854,38 @@
             error == boost::asio::error::connection_reset);
 }
 
+// Guards against requests that a planned stop cuts off without an answer.
+Test(gateway,
+     a_planned_stop_answers_what_is_still_active_at_its_end,
+     .timeout = 30) {
+  using boost::asio::ip::tcp;
+  boost::asio::io_context io;
+  const Endpoint endpoint = FreeEndpoint();
+  tcp::acceptor acceptor(
+      io, {boost::asio::ip::make_address_v4(endpoint.host), endpoint.port});
+  GatewayFixture fixture;
+  fixture.settings.stop_time = milliseconds(500);
+  fixture.control->AddTarget("i-1", endpoint);
+  fixture.control->Start();
+  fixture.Start();
+  cr_assert(fixture.WaitUntilReady(true));
+  std::thread stopper([&] {
+    tcp::socket target(io);
+    acceptor.accept(target);
+    raise(SIGTERM);
+    // The target stays silent until the gateway closes the connection.
+    boost::system::error_code error;
+    std::string received(64UL * 1024, '\0');
+    boost::asio::read(target, boost::asio::buffer(received), error);
+  });
+  const std::string answer = fixture.Call(
+      "POST /slow/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Attempt-Id: a\r\n"
+      "Deadline-Ms: 600000\r\nContent-Length: 4\r\n\r\nbody");
+  stopper.join();
+  cr_assert(StatusOf(answer) == "502", "%s", answer.c_str());
+  cr_assert(answer.find("process_ends") != std::string::npos);
+}
+
 // A target that said in its answers that it was leaving got requests until its
 // announcement arrived, or for ever if an older one came later.
 Test(gateway, a_target_that_says_it_leaves_gets_no_more_requests) {
