Start samples in slices, and pack whole target tables once

Samples are started 16 at a time, 5 ms apart. A whole table of targets is packed once for all gateways that begin anew, for a second at most.

--- a/src/programs/control/fleet_leader.cc
+++ b/src/programs/control/fleet_leader.cc
@@ -1,4 +1,5 @@
 // Tasks of the leader: samples, weights, expiry of jobs.
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <utility>
@@ -14,6 +15,9 @@
 // A previous leader that missed two digests is down or partitioned, so that
 // the new leader need not wait for it.
 constexpr Duration kPreviousLeaderTimeout = milliseconds(600);
+// Samples are started in slices of this number, and at this period.
+constexpr size_t kStartsPerSlice = 16;
+constexpr Duration kStartSlicePeriod = milliseconds(5);
 // Results have to stay readable for two minutes after a job's submission.
 constexpr Duration kJobRetention = std::chrono::seconds(125);
 
@@ -21,6 +25,7 @@
 
 void FleetService::OnLeadershipChange(bool leading) {
   engine_table_initialised_ = false;
+  planned_starts_.clear();
   sample_runner_.Reset();
   scheduler_.Reset();
   rollout_.Reset();
@@ -104,15 +109,51 @@
   const SamplePlan plan =
       scheduler_.Plan(ledger().jobs(), now, ledger().crashes());
   for (const SampleStop& stop : plan.stops) {
-    sample_runner_.Stop(stop);
-  }
-  for (const SampleStart& start : plan.starts) {
-    sample_runner_.Start(start, *ledger().jobs().Find(start.key.job));
+    StopSample(stop, now);
   }
+  planned_starts_.insert(planned_starts_.end(), plan.starts.begin(),
+                         plan.starts.end());
+  StartSamples(now);
   RunRewardTasks(now);
   AnswerPendingJobQueries(now);
 }
 
+void FleetService::StartSamples(TimePoint now) {
+  if (starts_scheduled_) {
+    return;
+  }
+  for (size_t started = 0;
+       started < kStartsPerSlice && !planned_starts_.empty(); ++started) {
+    const SampleStart start = std::move(planned_starts_.front());
+    planned_starts_.pop_front();
+    const Job* job = ledger().jobs().Find(start.key.job);
+    if (job && !job->ended) {
+      sample_runner_.Start(start, *job);
+    } else {
+      scheduler_.EndRun(start.key, RunOutcome::kStopped, now);
+    }
+  }
+  if (!planned_starts_.empty()) {
+    starts_scheduled_ = true;
+    timers_.After(kStartSlicePeriod, [this](TimePoint later) {
+      starts_scheduled_ = false;
+      StartSamples(later);
+    });
+  }
+}
+
+void FleetService::StopSample(const SampleStop& stop, TimePoint now) {
+  const auto planned = std::find_if(
+      planned_starts_.begin(), planned_starts_.end(),
+      [&](const SampleStart& start) { return start.key == stop.key; });
+  if (planned == planned_starts_.end()) {
+    sample_runner_.Stop(stop);
+    return;
+  }
+  planned_starts_.erase(planned);
+  scheduler_.EndRun(stop.key, RunOutcome::kStopped, now);
+}
+
 void FleetService::ExpireJobs(TimePoint now) {
   const JobLedger& jobs = ledger().jobs();
   for (const std::string& id : jobs.order()) {
--- a/src/programs/control/fleet_metrics.cc
+++ b/src/programs/control/fleet_metrics.cc
@@ -42,7 +42,7 @@
         static_cast<double>(ledger().jobs().jobs().size()));
   gauge("limpethatch_samples_running", "Samples at engines.",
         static_cast<double>(scheduler_.running()));
-  const SampleRunner::Counters& runs = sample_runner_.counters();
+  const SampleRunner::Counters& runs = run_counters();
   counter("limpethatch_samples_started_total", "Runs begun.",
           static_cast<double>(runs.started));
   counter("limpethatch_samples_finished_total",
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -58,6 +59,9 @@
   // Records the progress of running samples, from which the next leader
   // resumes, and drains the HTTP API.
   void PrepareStop();
+  const SampleRunner::Counters& run_counters() const {
+    return sample_runner_.counters();
+  }
   // Adds the control instances that the settings name.
   void AddSeeds(const std::vector<Endpoint>& seeds);
 
@@ -170,6 +174,9 @@
                 TimePoint now,
                 const wire::RelayGateways* relays = nullptr);
   wire::FleetNews MakeNews(TimePoint now) const;
+  // All targets, as a serialised wire::FleetNews. Kept for a while, as many
+  // gateways need it at the same time when a control instance fails.
+  const std::string& PackedTargets(TimePoint now);
   // Sends the configuration to the gateways that lack it, in slices so that the
   // event loop stays free for the consensus.
   void ScheduleConfigurationTransfers(Duration delay);
@@ -231,6 +238,11 @@
   // Tasks of the leader.
   void ScheduleLeaderTasks();
   void RunLeaderTasks(TimePoint now);
+  // Starts some of the planned samples and schedules the rest, so that the
+  // event loop stays free for the consensus.
+  void StartSamples(TimePoint now);
+  // Stops the sample, or drops it if it was not started yet.
+  void StopSample(const SampleStop& stop, TimePoint now);
   void InitialiseEngineTable();
   RunListener MakeRunListener();
   void ExpireJobs(TimePoint now);
@@ -277,6 +289,9 @@
   bool push_scheduled_ = false;
   uint64_t pushed_configuration_version_ = 0;
   uint64_t pushed_crash_revision_ = 0;
+  std::string packed_targets_;
+  uint64_t packed_targets_revision_ = 0;  // 0: nothing is packed.
+  TimePoint packed_targets_at_;
   TransferQueue configuration_transfers_;
   bool transfers_scheduled_ = false;
   std::string packed_configuration_;
@@ -316,6 +331,8 @@
   // This leader has proposed the newest log format.
   bool log_format_proposed_ = false;
 
+  std::deque<SampleStart> planned_starts_;
+  bool starts_scheduled_ = false;
   bool leader_tasks_scheduled_ = false;
   bool engine_table_initialised_ = false;  // In this term.
   std::string last_leader_;  // The latest leader other than this instance.
--- a/src/programs/control/fleet_targets.cc
+++ b/src/programs/control/fleet_targets.cc
@@ -1,4 +1,8 @@
 // Targets, and the gateways that are notified of their changes.
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+#include <google/protobuf/wire_format_lite.h>
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -21,11 +25,32 @@
 constexpr size_t kMaxLoggedIdBytes = 64;
 // Changes within this time are pushed to gateways together.
 constexpr Duration kPushDelay = milliseconds(2);
+// Gateways do not use the age of a target's record to the second.
+constexpr Duration kMaxPackedTargetsAge = std::chrono::seconds(1);
 // Configurations are sent in slices of about this size, and at this period:
 // less than the link of a control machine carries.
 constexpr size_t kMaxSliceBytes = 512UL * 1024;
 constexpr Duration kSlicePeriod = milliseconds(10);
 
+// The serialised envelope of `news` with further fields of the news, which are
+// serialised already: protobuf merges the concatenation of two messages.
+std::string EnvelopeOf(const wire::FleetNews& news,
+                       const std::string& more_fields) {
+  std::string bytes;
+  {
+    google::protobuf::io::StringOutputStream stream(&bytes);
+    google::protobuf::io::CodedOutputStream output(&stream);
+    output.WriteTag(google::protobuf::internal::WireFormatLite::MakeTag(
+        wire::Envelope::kFleetNewsFieldNumber,
+        google::protobuf::internal::WireFormatLite::WIRETYPE_LENGTH_DELIMITED));
+    output.WriteVarint32(
+        static_cast<uint32_t>(news.ByteSizeLong() + more_fields.size()));
+    news.SerializeWithCachedSizes(&output);
+    output.WriteString(more_fields);
+  }
+  return bytes;
+}
+
 }  // namespace
 
 void FleetService::LoadTargets() {
@@ -227,24 +252,42 @@
   return news;
 }
 
+const std::string& FleetService::PackedTargets(TimePoint now) {
+  if (packed_targets_revision_ != targets_.revision() ||
+      now - packed_targets_at_ > kMaxPackedTargetsAge) {
+    wire::FleetNews news;
+    for (wire::TargetRecord& target : targets_.ChangedSince(0, now)) {
+      target.clear_weights();
+      *news.add_targets() = std::move(target);
+    }
+    packed_targets_ = news.SerializeAsString();
+    packed_targets_revision_ = targets_.revision();
+    packed_targets_at_ = now;
+  }
+  return packed_targets_;
+}
+
 void FleetService::SendNews(Watcher& watcher,
                             TimePoint now,
                             const wire::RelayGateways* relays) {
-  wire::Envelope envelope;
-  wire::FleetNews& news = *envelope.mutable_fleet_news();
-  news = MakeNews(now);
+  wire::FleetNews news = MakeNews(now);
   if (relays) {
     *news.mutable_relays() = *relays;
   }
   news.set_base_revision(watcher.revision);
   news.set_revision(targets_.revision());
-  for (wire::TargetRecord& target :
-       targets_.ChangedSince(watcher.revision, now)) {
-    target.clear_weights();
-    *news.add_targets() = std::move(target);
+  std::string packed_targets;
+  if (watcher.revision == 0) {
+    packed_targets = PackedTargets(now);
+  } else {
+    for (wire::TargetRecord& target :
+         targets_.ChangedSince(watcher.revision, now)) {
+      target.clear_weights();
+      *news.add_targets() = std::move(target);
+    }
   }
   watcher.revision = targets_.revision();
-  messenger_.Send(watcher.reply_to, envelope.SerializeAsString());
+  messenger_.Send(watcher.reply_to, EnvelopeOf(news, packed_targets));
 }
 
 void FleetService::ScheduleConfigurationTransfers(Duration delay) {
--- a/tests/control/control_fixture.h
+++ b/tests/control/control_fixture.h
@@ -130,6 +130,10 @@
     configuration.set_version(version);
     const std::string service = "service-" + std::to_string(version);
     configuration.add_services()->set_name(service);
+    wire::ServiceDeclaration& coach = *configuration.add_services();
+    coach.set_name("coach");
+    coach.set_cache_tokens(100'000);
+    coach.add_models("model");
     for (int i = 0; i < routes; ++i) {
       wire::Route& route = *configuration.add_routes();
       route.set_name("r-" + UnpredictableText(i));
