Do not guess who began a stream while out of step with control

Cause (from an operator's report): a gateway that knows one software version of a service takes each stream for begun by it. One that was cut off, or suspended, while targets of a new version joined, continued streams of these at the old one.

It does so only while its targets are current: in quorum contact within 1.2 s, by the clock that counts suspended time. Otherwise it asks the leader, and refuses with 503 if the origin is not to be had.

--- a/src/programs/gateway/fleet_subscriber.cc
+++ b/src/programs/gateway/fleet_subscriber.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "envelope.pb.h"
+#include "limpethatch/process/boot_time.h"
 #include "limpethatch/process/compression.h"
 #include "limpethatch/process/log.h"
 
@@ -20,6 +21,8 @@
 // While a configuration is on its way, the reply comes behind it.
 constexpr Duration kTransferReplyTimeout = std::chrono::seconds(1);
 constexpr Duration kCheckPeriod = std::chrono::milliseconds(100);
+// Targets are current for a little longer than one watch period and its reply.
+constexpr Duration kMaxTargetsAge = std::chrono::milliseconds(1200);
 // Settings name at most three seeds. The part of a gateway's hash that chose
 // its seed does not choose the next instance.
 constexpr size_t kMaxSeeds = 3;
@@ -206,6 +209,7 @@
     return;
   }
   last_quorum_contact_at_ = now;
+  last_quorum_contact_boot_time_ = TimeSinceBoot();
   freshness_.SetInstances(static_cast<size_t>(news.control_endpoints_size()));
   callbacks_.on_target_rates(news.target_rates());
   callbacks_.on_suspects(news.suspects());
@@ -317,6 +321,11 @@
   return true;
 }
 
+bool FleetSubscriber::HasCurrentTargets() const {
+  return has_quorum_contact_ &&
+         TimeSinceBoot() - last_quorum_contact_boot_time_ < kMaxTargetsAge;
+}
+
 void FleetSubscriber::RebuildTargetTable() {
   std::vector<Target> targets;
   for (const auto& [id, record] : target_records_) {
--- a/src/programs/gateway/fleet_subscriber.h
+++ b/src/programs/gateway/fleet_subscriber.h
@@ -70,6 +70,9 @@
   Duration time_since_quorum_contact(TimePoint now) const {
     return now - last_quorum_contact_at_;
   }
+  // Whether the targets are known as they were a moment ago. Not if this
+  // machine was suspended since.
+  bool HasCurrentTargets() const;
 
  private:
   struct ControlInstance {
@@ -115,6 +118,7 @@
   bool reply_missed_ = false;
   bool has_quorum_contact_ = false;
   TimePoint last_quorum_contact_at_;
+  Duration last_quorum_contact_boot_time_{};  // As TimeSinceBoot.
   // Of the last target update applied. The sender counts revisions within an
   // epoch, which is random for each start of a control instance.
   uint64_t epoch_ = 0;
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -70,7 +70,10 @@
                  [this](std::string_view message) { OnMessage(message); }),
       control_client_(io_, messenger_, MakeControlClientOptions(settings)),
       target_permits_(io_, control_client_),
-      stream_directory_(io_, control_client_),
+      stream_directory_(
+          io_,
+          control_client_,
+          [this] { return fleet_subscriber_.HasCurrentTargets(); }),
       fleet_subscriber_(timers_,
                         messenger_,
                         settings_,
--- a/src/programs/gateway/stream_directory.cc
+++ b/src/programs/gateway/stream_directory.cc
@@ -44,7 +44,8 @@
     return *version;
   }
   if (const auto versions = versions_.find(service);
-      versions != versions_.end() && versions->second.size() == 1) {
+      versions != versions_.end() && versions->second.size() == 1 &&
+      has_current_targets_()) {
     return *versions->second.begin();
   }
   if (attempt.empty()) {
--- a/src/programs/gateway/stream_directory.h
+++ b/src/programs/gateway/stream_directory.h
@@ -4,10 +4,12 @@
 #ifndef LIMPETHATCH_PROGRAMS_GATEWAY_STREAM_DIRECTORY_H_
 #define LIMPETHATCH_PROGRAMS_GATEWAY_STREAM_DIRECTORY_H_
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "fleet.pb.h"
 #include "limpethatch/connection/control_client.h"
@@ -18,8 +20,14 @@
 // Not synchronised; used on the gateway's thread only.
 class StreamDirectory {
  public:
-  StreamDirectory(boost::asio::io_context& io, ControlClient& control_client)
-      : io_(io), control_client_(control_client) {}
+  // `has_current_targets` tells whether a new software version would have been
+  // reported by OnTarget.
+  StreamDirectory(boost::asio::io_context& io,
+                  ControlClient& control_client,
+                  std::function<bool()> has_current_targets)
+      : io_(io),
+        control_client_(control_client),
+        has_current_targets_(std::move(has_current_targets)) {}
 
   // A target serves, or has served lately.
   void OnTarget(const wire::TargetRecord& target);
@@ -27,8 +35,9 @@
   // the leader.
   void OnBegun(const std::string& attempt, const std::string& version);
   // The software version that began the stream of `attempt` at a target of
-  // `service`; nullopt if it is unknown. If the service has had only one
-  // version, it must have been that. Otherwise may ask the leader.
+  // `service`; nullopt if it is unknown. If the targets are current and the
+  // service has had only one version, it must have been that. Otherwise may ask
+  // the leader.
   std::optional<std::string> Find(Yield yield,
                                   const std::string& service,
                                   const std::string& attempt);
@@ -36,6 +45,7 @@
  private:
   boost::asio::io_context& io_;
   ControlClient& control_client_;
+  const std::function<bool()> has_current_targets_;
   StreamOrigins origins_;
   // Software versions of the targets of each service.
   std::map<std::string, std::set<std::string>> versions_;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -709,6 +709,36 @@
   cr_assert_eq(old_target.calls, 11 * old_calls);
 }
 
+// A gateway that was out of step with control did not know of targets of a new
+// software version, and continued streams that these had begun elsewhere.
+Test(gateway,
+     one_that_is_out_of_step_does_not_guess_who_began_a_stream,
+     .timeout = 30) {
+  FakeTarget target([](const HttpRequest& request) {
+    return SignedAnswer(request, kAttemptId);
+  });
+  GatewayFixture fixture;
+  fixture.control->AddTarget("i-old", target.endpoint(), "v1");
+  fixture.control->Start();
+  fixture.Start();
+  cr_assert(fixture.WaitUntilReady(true));
+  const std::string resumption =
+      Post("/s/x", "Last-Event-Id: 3\r\nResumes: 0123456789abcdef\r\n");
+  cr_assert(StatusOf(fixture.Call(resumption)) == "200");
+  int answered = target.calls;
+  fixture.control->has_quorum_contact = false;
+  std::string answer;
+  for (int i = 0; i < 200 && StatusOf(answer) != "503"; ++i) {
+    std::this_thread::sleep_for(milliseconds(50));
+    answer = fixture.Call(resumption);
+    answered += StatusOf(answer) == "200" ? 1 : 0;
+  }
+  cr_assert(StatusOf(answer) == "503", "%s", answer.c_str());
+  cr_assert(answer.find("unknown_software_version") != std::string::npos);
+  // What it refuses does not reach the target.
+  cr_assert_eq(target.calls, answered);
+}
+
 // An answer without an end filled the memory of the gateway until the deadline.
 Test(gateway, an_endless_answer_is_cut_off_and_the_gateway_keeps_serving) {
   constexpr size_t kCutOffAndSocketBuffers = 24UL * 1024 * 1024;
