Look at open engines only when samples are scheduled

Cause: for each waiting sample the plan looked at all engines of all services and computed the median gap between events anew, and for each running sample that median once more.

The engines that have a free slot and are usable are found once for each plan, the median once for each service and plan. Decisions are the same.

--- a/src/limpethatch/version/sample_scheduler.cc
+++ b/src/limpethatch/version/sample_scheduler.cc
@@ -44,6 +44,7 @@
                                  TimePoint now,
                                  const CrashLedger& crashes) {
   SamplePlan plan;
+  median_gaps_.clear();
   std::erase_if(done_unlisted_, [&](const SampleKey& key) {
     const Job* job = jobs.Find(key.job);
     return !job || job->ended || !NeedsText(job->samples[key.index]);
@@ -55,14 +56,32 @@
   PlanStops(jobs, now, &plan);
   const std::vector<Candidate> waiting = Waiting(jobs, now, crashes);
   PlanQuarantines(waiting, now);
+  FindOpenEngines(now);
   for (const Candidate& candidate : waiting) {
     if (EngineState* engine = ChooseEngine(candidate, now)) {
       Start(candidate, *engine, now, &plan);
     }
   }
+  open_engines_.clear();
   return plan;
 }
 
+Duration SampleScheduler::MedianEventGap(const std::string& service) const {
+  const auto [entry, added] = median_gaps_.try_emplace(service);
+  if (added) {
+    entry->second = engine_table_.MedianEventGap(service);
+  }
+  return entry->second;
+}
+
+void SampleScheduler::FindOpenEngines(TimePoint now) {
+  for (auto& [id, engine] : engine_table_.engines()) {
+    if (engine.running < engine.slots && engine.Usable(now)) {
+      open_engines_[engine.service].push_back(&engine);
+    }
+  }
+}
+
 void SampleScheduler::PlanStops(const JobLedger& jobs,
                                 TimePoint now,
                                 SamplePlan* plan) {
@@ -102,7 +121,7 @@
   }
   const auto found = engine_table_.engines().find(run.engine);
   const EngineState& engine = found->second;
-  const Duration median_gap = engine_table_.MedianEventGap(engine.service);
+  const Duration median_gap = MedianEventGap(engine.service);
   if (!run.has_event || median_gap == Duration::zero() ||
       engine.event_gap < median_gap * options_.slow_factor) {
     return false;
@@ -313,13 +332,25 @@
                                          const std::string* software_version,
                                          TimePoint now) {
   const wire::JobSubmit& submit = candidate.job->submit;
+  const auto open = open_engines_.find(submit.service());
+  if (open == open_engines_.end()) {
+    return nullptr;
+  }
+  std::erase_if(open->second, [](const EngineState* engine) {
+    return engine->running >= engine->slots;
+  });
+  if (open->second.empty()) {
+    return nullptr;
+  }
   const auto& sample = submit.samples(static_cast<int>(candidate.key.index));
   const uint64_t tokens = sample.prompt_tokens() + sample.expected_tokens();
-  const Duration median_gap = engine_table_.MedianEventGap(submit.service());
+  const Duration median_gap = MedianEventGap(submit.service());
   const auto quarantine = quarantines_.find(submit.service());
   EngineState* best = nullptr;
   double best_cost = std::numeric_limits<double>::max();
-  for (auto& [id, engine] : engine_table_.engines()) {
+  for (EngineState* open_engine : open->second) {
+    EngineState& engine = *open_engine;
+    const std::string& id = engine.id;
     if (software_version && engine.software_version != *software_version) {
       continue;
     }
--- a/src/limpethatch/version/sample_scheduler.h
+++ b/src/limpethatch/version/sample_scheduler.h
@@ -157,6 +157,11 @@
   // Keeps one engine of each service with suspects free of other samples.
   void PlanQuarantines(const std::vector<Candidate>& waiting, TimePoint now);
   EngineState* ChooseEngine(const Candidate& candidate, TimePoint now);
+  // EngineTable::MedianEventGap, computed once for each plan.
+  Duration MedianEventGap(const std::string& service) const;
+  // Finds the engines that may take a sample at all, so that the choice for
+  // each of many waiting samples does not look at the others.
+  void FindOpenEngines(TimePoint now);
   // The engine that takes the sample at the least cost; null if none can now. A
   // null `software_version` stands for any.
   EngineState* BestEngine(const Candidate& candidate,
@@ -185,6 +190,9 @@
   std::map<SampleKey, TimePoint> resume_waits_;
   // Where suspects run, or will once the other samples there have ended.
   Quarantines quarantines_;
+  // By service; valid while a plan is made.
+  std::map<std::string, std::vector<EngineState*>, std::less<>> open_engines_;
+  mutable std::map<std::string, Duration, std::less<>> median_gaps_;
   std::map<std::string, uint32_t, std::less<>> tokens_per_event_;
 };
 
--- a/tests/version/sample_scheduler_test.cc
+++ b/tests/version/sample_scheduler_test.cc
@@ -564,4 +564,33 @@
   }
 }
 
+// Pattern: steps of all trainers wait behind engines that are all busy. For
+// each waiting sample the plan looked at all engines, and twice for their
+// median. The limit is some ten times what it takes now.
+Test(sample_scheduler,
+     a_plan_with_all_engines_busy_takes_little_time,
+     .timeout = 60) {
+  constexpr int kEngines = 890;
+  constexpr uint32_t kSlots = 6;
+  constexpr size_t kSamples = 15'000;
+  constexpr int kPlans = 200;
+  SchedulerFixture fixture(kEngines, kSlots);
+  fixture.Submit("job", std::vector<std::vector<uint32_t>>(
+                            kSamples / 10, std::vector<uint32_t>(10, 20)));
+  TimePoint now{seconds(100)};
+  const SamplePlan plan = fixture.scheduler.Plan(fixture.jobs, now);
+  cr_assert(plan.starts.size() == kEngines * kSlots);
+  for (uint32_t events = 1; events <= 2; ++events) {
+    now += milliseconds(40);
+    for (const SampleStart& start : plan.starts) {
+      fixture.scheduler.RecordEvents(start.key, events, now);
+    }
+  }
+  for (int i = 0; i < kPlans; ++i) {
+    now += milliseconds(1);
+    const SamplePlan next = fixture.scheduler.Plan(fixture.jobs, now);
+    cr_assert(next.starts.empty() && next.stops.empty());
+  }
+}
+
 }  // namespace limpethatch
