--- /dev/null
+++ b/review/common/case.py
@@ -0,0 +1,104 @@
+"""Frame of a case: starts the deployment and its samplers, runs the scenario,
+ends everything, and turns the outcome into the exit code."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+
+import deployment
+import stand_ins
+
+HOST = "desk.example"
+MODEL = "model-a"
+ROLLOUT_PREFIX = "/roll/"
+KEPT, BROKEN, COULD_NOT_RUN = 0, 1, 2
+# With the start of the deployment below the 120 s that a script may take.
+SCENARIO_LIMIT_S = 85
+
+
+class Case:
+    """What a scenario works with."""
+
+    def __init__(self, folder, gateways, engines, result_deadline_ms, event_gap):
+        self.trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.record = stand_ins.Record(pathlib.Path(folder) / "record.txt")
+        logs = os.environ.get("REVIEW_LOGS")
+        self.system = deployment.Deployment(gateways, pathlib.Path(logs) if logs else None)
+        self.control = stand_ins.ControlCaller(self.system.seeds)
+        self.engines = [
+            stand_ins.Sampler(self.record, self.control, f"{self.system.subnet}.{100 + i}",
+                              self.system.front_port, "tutors", deployment.ZONES[i % 3],
+                              model=MODEL, event_gap=event_gap) for i in range(engines)]
+        self.result_deadline_ms = result_deadline_ms
+        self.plain = []
+        self.client = stand_ins.Client(
+            self.record, [f"{g.ip}:{self.system.front_port}" for g in self.system.gateways], HOST)
+
+    async def prepare(self):
+        self.system.start()
+        document = stand_ins.configuration(1, HOST, MODEL, self.result_deadline_ms)
+        for _ in range(40):
+            status, _, _ = await self.control.call("PUT", "/v1/configuration", document)
+            if status == 200:
+                break
+            await asyncio.sleep(0.25)
+        else:
+            raise deployment.CannotRun("the configuration was not acknowledged")
+        for engine in self.engines:
+            await engine.start()
+        await asyncio.to_thread(self.system.wait_until_ready)
+        # All machines are in touch from here on.
+        await asyncio.sleep(deployment.BOUNDS["contact_ms"] / 1000 + 1)
+        self.record.write("the deployment is ready")
+
+    async def add_plain(self, count, **options):
+        """Starts samplers of the plain service."""
+        for i in range(count):
+            sampler = stand_ins.Sampler(
+                self.record, self.control, f"{self.system.subnet}.{150 + i}",
+                self.system.front_port, "desk", deployment.ZONES[i % 3], is_engine=False, slots=6,
+                **options)
+            self.plain.append(sampler)
+            await sampler.start()
+
+    def check_alive(self):
+        for machine in self.system.machines():
+            if not machine.running():
+                raise deployment.CannotRun(f"{machine.name} is not running")
+
+    async def close(self):
+        for sampler in self.engines + self.plain:
+            await sampler.stop()
+        self.system.stop()
+
+
+async def run_scenario(scenario, case):
+    try:
+        await case.prepare()
+        verdict = await asyncio.wait_for(scenario(case), SCENARIO_LIMIT_S)
+    except asyncio.TimeoutError:
+        case.record.write("could not run: the scenario took too long")
+        return COULD_NOT_RUN
+    except deployment.CannotRun as problem:
+        case.record.write(f"could not run: {problem}")
+        print(f"could not run: {problem}")
+        return COULD_NOT_RUN
+    finally:
+        await case.close()
+    case.record.write("the rule was broken" if verdict else "the rule was kept")
+    print("the rule was broken: " + verdict if verdict else "the rule was kept")
+    return BROKEN if verdict else KEPT
+
+
+def main(scenario, folder, gateways, engines, result_deadline_ms=7500, event_gap=0.04):
+    """Runs `scenario`, which returns how the rule was broken, or None."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
+    try:
+        case = Case(folder, gateways, engines, result_deadline_ms, event_gap)
+        code = asyncio.run(run_scenario(scenario, case))
+    except deployment.CannotRun as problem:
+        print(f"could not run: {problem}")
+        code = COULD_NOT_RUN
+    sys.exit(code)
