--- a/review/common/case.py
+++ b/review/common/case.py
@@ -21,7 +21,8 @@
 class Case:
     """What a scenario works with."""
 
-    def __init__(self, folder, gateways, engines, result_deadline_ms, event_gap):
+    def __init__(self, folder, gateways, engines, result_deadline_ms, event_gap,
+                 single_version):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.record = stand_ins.Record(pathlib.Path(folder) / "record.txt")
         logs = os.environ.get("REVIEW_LOGS")
@@ -32,13 +33,15 @@
                               self.system.front_port, "tutors", deployment.ZONES[i % 3],
                               model=MODEL, event_gap=event_gap) for i in range(engines)]
         self.result_deadline_ms = result_deadline_ms
+        self.single_version = single_version
         self.plain = []
         self.client = stand_ins.Client(
             self.record, [f"{g.ip}:{self.system.front_port}" for g in self.system.gateways], HOST)
 
     async def prepare(self):
         self.system.start()
-        document = stand_ins.configuration(1, HOST, MODEL, self.result_deadline_ms)
+        document = stand_ins.configuration(1, HOST, MODEL, self.result_deadline_ms,
+                                           self.single_version)
         for _ in range(40):
             status, _, _ = await self.control.call("PUT", "/v1/configuration", document)
             if status == 200:
@@ -92,11 +95,12 @@
     return BROKEN if verdict else KEPT
 
 
-def main(scenario, folder, gateways, engines, result_deadline_ms=7500, event_gap=0.04):
+def main(scenario, folder, gateways, engines, result_deadline_ms=7500, event_gap=0.04,
+         single_version=False):
     """Runs `scenario`, which returns how the rule was broken, or None."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
-        case = Case(folder, gateways, engines, result_deadline_ms, event_gap)
+        case = Case(folder, gateways, engines, result_deadline_ms, event_gap, single_version)
         code = asyncio.run(run_scenario(scenario, case))
     except deployment.CannotRun as problem:
         print(f"could not run: {problem}")
--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -399,7 +399,8 @@
             "items": items}
 
 
-def configuration(version, host, model, result_deadline_ms, engines="tutors", plain="desk"):
+def configuration(version, host, model, result_deadline_ms, single_version, engines="tutors",
+                  plain="desk"):
     """A configuration like that of a small site: one rollout and one safe route."""
     return {
         "version": version,
@@ -407,7 +408,7 @@
             {"name": "r-rollout", "host": host, "path_prefix": "/roll/", "kind": "rollout",
              "timeout_ms": 10000, "target_latency_ms": 400, "priority": 0, "service": engines,
              "max_attempts": 3, "max_queue_s": 40.0, "result_deadline_ms": result_deadline_ms,
-             "single_version": False, "session_affinity": True, "resumable": True},
+             "single_version": single_version, "session_affinity": True, "resumable": True},
             {"name": "r-safe", "host": host, "path_prefix": "/look/", "kind": "safe",
              "timeout_ms": 800, "target_latency_ms": 150, "priority": 2, "service": plain,
              "max_attempts": 2}],
