--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -287,7 +287,7 @@
             try:
                 await self.run(request_id, headers, writer)
             finally:
-                del self.running[key]
+                self.running.pop(key, None)
                 self.last_run_end[request_id] = self.record.now()
 
     async def run(self, request_id, headers, writer):
