Review case 1: a lost sampler counts as holder of the newest weights

The only sampler with the newest version crashes for good; no other one is ordered to load it, and nothing of the accepted step runs any more.

--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -1,4 +1,4 @@
-"""A sampler hands out wrong bytes in one answer; results of a whole step are lost."""
+"""A lost sampler counts as the holder of the newest weights; no other one loads them."""
 
 import asyncio
 import pathlib
@@ -8,26 +8,43 @@
 import case  # noqa: E402
 import stand_ins  # noqa: E402
 
-GROUPS, GROUP_SIZE = 18, 4
-WANTED_GROUPS = 16
-DEADLINE_S = 7.5  # result_deadline_ms of the route.
-IDLE_S = 5.0      # "has been at no sampler for 5 s".
+ENGINES = 3
+GROUPS, GROUP_SIZE = 9, 4
+DEADLINE_S = 7.5     # result_deadline_ms of the route.
+IDLE_S = 5.0         # "has been at no sampler for 5 s"
+AFTER_NAMING_S = 7.0  # "no version was named then or in the 6 s before"
+CRASH_AFTER_S = 0.6
 
 
 async def scenario(work):
     record = work.record
+    for model in case.MODELS:
+        status, _, _ = await work.control.call(
+            "POST", "/v1/version-put", {"model": model, "version": 2})
+        if status != 200:
+            raise case.deployment.CannotRun(f"version 2 of {model} was not acknowledged")
+    record.write("three trainers have named version 2 of their models")
+    await asyncio.sleep(AFTER_NAMING_S)
+    record.write(f"versions of {case.MODEL}: "
+                 + ", ".join(f"{e.id} {e.versions[case.MODEL]}" for e in work.engines))
+    holders = [engine for engine in work.engines if engine.versions[case.MODEL] == 2]
+    if len(holders) != 1:
+        raise case.deployment.CannotRun(f"{len(holders)} samplers have version 2")
+
     job = stand_ins.fresh_id()
-    body = stand_ins.make_job(case.ROLLOUT_PREFIX, case.MODEL, 0, 1, GROUPS, GROUP_SIZE)
-    body["group_count"] = WANTED_GROUPS
+    body = stand_ins.make_job(case.ROLLOUT_PREFIX, case.MODEL, 1, 2, GROUPS, GROUP_SIZE)
     groups = {}
     for item in body["items"]:
         groups.setdefault(item["group"], set()).add(item["id"])
-    if work.trouble:
-        work.engines[0].spoil_next = True
     submitted = record.now()
-    status = await work.client.submit(0, job, case.ROLLOUT_PREFIX, body)
-    if status != 202:
-        raise case.deployment.CannotRun(f"the batch job was answered {status}")
+    if await work.client.submit(0, job, case.ROLLOUT_PREFIX, body) != 202:
+        raise case.deployment.CannotRun("the batch job was not accepted")
+    await asyncio.sleep(CRASH_AFTER_S)
+    if work.trouble:
+        record.write(f"sampler {holders[0].id} crashes for good, "
+                     f"{len(holders[0].running)} items run there")
+        holders[0].restart_s = 3600
+        holders[0].crash()
 
     results, gateway = {}, 0
     while record.now() < submitted + DEADLINE_S:
@@ -35,9 +52,9 @@
         _, page = await work.client.read(gateway, job, len(results))
         for result in page["results"] if page else []:
             results[result["id"]] = result
-            record.write(f"read {result['id']}: {result['state']}")
-        if sum(ids <= results.keys() for ids in groups.values()) >= WANTED_GROUPS:
-            record.write("the trainer has read the groups that it waits for")
+            record.write(f"read {result['id']}: {result['state']} {result['versions']}")
+        if all(ids <= results.keys() for ids in groups.values()):
+            record.write("the trainer has read all groups")
             return None
         await asyncio.sleep(0.5)
     work.check_alive()
@@ -51,19 +68,18 @@
         running += len(engine.running)
         for item, ended in engine.last_run_end.items():
             last_end[item] = max(last_end.get(item, 0), ended)
-    unlisted = [i["id"] for i in body["items"] if i["id"] not in results]
-    lost = [i for i in unlisted if i not in finished
-            and deadline - last_end.get(i, submitted) >= IDLE_S]
-    whole = [i for i in unlisted if i in finished]
-    record.write(f"at the deadline {running} of {12 * len(work.engines)} places are taken")
-    record.write(f"{len(whole)} items were finished by samplers and are not listed")
+    places = 12 * (len(work.engines) - 1)
+    record.write(f"at the deadline {running} of {places} places are taken")
+    lost = [i["id"] for i in body["items"] if i["id"] not in finished
+            and deadline - last_end.get(i["id"], submitted) >= IDLE_S]
     for item in lost:
         record.write(f"{item}: finished by no sampler, at none for "
-                     f"{deadline - last_end[item]:.1f} s")
-    if not lost or 2 * running >= 12 * len(work.engines):
+                     f"{deadline - last_end.get(item, submitted):.1f} s")
+    if not lost or 2 * running >= places:
         return None
-    return (f"LOST: the step ran out of time, {len(lost)} item(s) that no sampler has finished "
-            f"were at none for 5 s; {len(whole)} more were finished and never listed")
+    return (f"LOST: the step ran out of time while {len(lost)} items, which no sampler has "
+            "finished, were at none for 5 s")
 
 
-case.main(scenario, pathlib.Path(__file__).resolve().parent, gateways=3, engines=6)
+case.main(scenario, pathlib.Path(__file__).resolve().parent, gateways=3, engines=ENGINES,
+          models=case.MODELS)
--- a/review/4/scenario.py
+++ b/review/4/scenario.py
@@ -1,54 +1,61 @@
-"""Control forgets that a sampler has left when all its processes are killed at once."""
+"""A gateway that stood still submits a batch job whose end was acknowledged meanwhile."""
 
 import asyncio
 import pathlib
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "common"))
 import case  # noqa: E402
 import stand_ins  # noqa: E402
 
-RESTART_S = 0.8
-DRAIN_S = 2.0
-CONTACT_S = 3.0
+GATEWAYS = 6
+FROZEN = 2        # 0.35 of 6, rounded down.
+FREEZE_S = 6.0
+PATIENCE_S = 1.0  # "If a node has not read an idempotent request after one second"
+DEADLINE_S = 4.0  # result_deadline_ms of the route, from the first submission on.
+CANCEL_S = 3.0
+ENGINES = 3
+GROUPS, GROUP_SIZE = 12, 8
 
 
 async def scenario(work):
-    record, leaving = work.record, work.engines[0]
-    # The sampler is one of those that send DELETE first and go on serving.
-    leaving.stop_heartbeats()
-    node = await leaving.leave()
-    if not node:
-        raise case.deployment.CannotRun("the sampler's DELETE was not acknowledged")
-    acknowledged = record.now()
-    record.write(f"sampler {leaving.id} has left: {node} acknowledged its DELETE")
-    if work.trouble:
-        for machine in work.system.controls:
-            machine.kill()
-        record.write("all processes that serve control were killed")
-        await asyncio.sleep(RESTART_S)
-        for machine in work.system.controls:
-            machine.start(work.system, bootstrap=False)
-    in_touch = record.now() + CONTACT_S
-    await asyncio.sleep(CONTACT_S + 0.5)
-    record.write("all machines are in touch again")
-
+    record = work.record
+    frozen = work.system.gateways[:FROZEN]
     job = stand_ins.fresh_id()
-    body = stand_ins.make_job(case.ROLLOUT_PREFIX, case.MODEL, 0, 1, 18, 4)
-    if await work.client.submit(0, job, case.ROLLOUT_PREFIX, body) != 202:
-        raise case.deployment.CannotRun("the batch job was not accepted")
-    await asyncio.sleep(3)
-    await work.client.end(0, job)
+    body = stand_ins.make_job(case.ROLLOUT_PREFIX, case.MODEL, 0, 1, GROUPS, GROUP_SIZE)
+    items = {item["id"] for item in body["items"]}
+    if work.trouble:
+        for gateway in frozen:
+            gateway.signal(signal.SIGSTOP)
+        record.write(f"{FROZEN} of {GATEWAYS} gateways stand still")
+    frozen_at = record.now()
+    # The first attempt and one retry, at another node.
+    for gateway in range(FROZEN):
+        if await work.client.submit(gateway, job, case.ROLLOUT_PREFIX, body, PATIENCE_S) == 202:
+            break
+    # At its deadline the trainer ends the batch job. No answer has promised
+    # that none of it runs.
+    await asyncio.sleep(max(0.0, frozen_at + DEADLINE_S - record.now()))
+    while await work.client.end(GATEWAYS - 1, job) != 200:
+        await asyncio.sleep(0.5)
+    ended = record.now()
+    await asyncio.sleep(max(0.0, frozen_at + FREEZE_S - record.now()))
+    for gateway in frozen:
+        gateway.signal(signal.SIGCONT)
+    record.write("all gateways run")
+    await asyncio.sleep(CANCEL_S + 3)
     work.check_alive()
-    late = [at for at, _, _ in leaving.runs if at > max(acknowledged + DRAIN_S, in_touch)]
-    others = sum(len(engine.runs) for engine in work.engines[1:])
-    record.write(f"{len(late)} items ran at the sampler that had left, {others} at the others")
-    if not others:
-        raise case.deployment.CannotRun("no item ran")
+
+    runs = [(at, item) for engine in work.engines for at, item, _ in engine.runs if item in items]
+    late = [run for run in runs if run[0] > ended + CANCEL_S]
+    record.write(f"{len(runs)} runs of items of the batch job, {len(late)} of them later than "
+                 f"{CANCEL_S:.0f} s after its end was acknowledged")
     if not late:
         return None
-    return (f"DRAIN: {len(late)} items reached a sampler later than {DRAIN_S:.0f} s after its "
-            f"DELETE was acknowledged, the first {min(late) - acknowledged:.1f} s after it")
+    return (f"UNASKED: {len(late)} items ran later than {CANCEL_S:.0f} s after the end of their "
+            f"batch job was acknowledged, the last {max(late)[0] - ended:.1f} s after it")
 
 
-case.main(scenario, pathlib.Path(__file__).resolve().parent, gateways=3, engines=6)
+case.main(scenario, pathlib.Path(__file__).resolve().parent, GATEWAYS, ENGINES,
+          result_deadline_ms=int(DEADLINE_S * 1000), event_gap=0.05)
--- a/review/common/case.py
+++ b/review/common/case.py
@@ -12,6 +12,7 @@
 
 HOST = "desk.example"
 MODEL = "model-a"
+MODELS = [MODEL, "model-b", "model-c"]
 ROLLOUT_PREFIX = "/roll/"
 KEPT, BROKEN, COULD_NOT_RUN = 0, 1, 2
 # With the start of the deployment below the 120 s that a script may take.
@@ -22,7 +23,7 @@
     """What a scenario works with."""
 
     def __init__(self, folder, gateways, engines, result_deadline_ms, event_gap,
-                 single_version):
+                 single_version, models):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.record = stand_ins.Record(pathlib.Path(folder) / "record.txt")
         logs = os.environ.get("REVIEW_LOGS")
@@ -31,16 +32,17 @@
         self.engines = [
             stand_ins.Sampler(self.record, self.control, f"{self.system.subnet}.{100 + i}",
                               self.system.front_port, "tutors", deployment.ZONES[i % 3],
-                              model=MODEL, event_gap=event_gap) for i in range(engines)]
+                              models=models, event_gap=event_gap) for i in range(engines)]
         self.result_deadline_ms = result_deadline_ms
         self.single_version = single_version
+        self.models = models
         self.plain = []
         self.client = stand_ins.Client(
             self.record, [f"{g.ip}:{self.system.front_port}" for g in self.system.gateways], HOST)
 
     async def prepare(self):
         self.system.start()
-        document = stand_ins.configuration(1, HOST, MODEL, self.result_deadline_ms,
+        document = stand_ins.configuration(1, HOST, self.models, self.result_deadline_ms,
                                            self.single_version)
         for _ in range(40):
             status, _, _ = await self.control.call("PUT", "/v1/configuration", document)
@@ -96,11 +98,12 @@
 
 
 def main(scenario, folder, gateways, engines, result_deadline_ms=7500, event_gap=0.04,
-         single_version=False):
+         single_version=False, models=(MODEL,)):
     """Runs `scenario`, which returns how the rule was broken, or None."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
-        case = Case(folder, gateways, engines, result_deadline_ms, event_gap, single_version)
+        case = Case(folder, gateways, engines, result_deadline_ms, event_gap, single_version,
+                    models)
         code = asyncio.run(run_scenario(scenario, case))
     except deployment.CannotRun as problem:
         print(f"could not run: {problem}")
--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -122,16 +122,16 @@
     """A model sampler; with `is_engine` false, a plain service."""
 
     def __init__(self, record, control, ip, port, service, zone, *, is_engine=True,
-                 model="", slots=12, events=20, event_gap=0.04, work=0.025,
+                 models=(), slots=12, events=20, event_gap=0.04, work=0.025,
                  heartbeat_delay=0.0, fatal_path=None, restart_s=4.0):
         self.record, self.control = record, control
         self.ip, self.port, self.service, self.zone = ip, port, service, zone
-        self.is_engine, self.model, self.slots = is_engine, model, slots
+        self.is_engine, self.slots = is_engine, slots
+        self.versions = dict.fromkeys(models, 1)
         self.events, self.event_gap, self.work = events, event_gap, work
         self.heartbeat_delay = heartbeat_delay
         self.fatal_path = fatal_path  # A request for it crashes this sampler.
         self.restart_s = restart_s
-        self.version = 1
         self.tasks = []
         self.deliveries = set()  # Heartbeats under way, which a crash doesn't stop.
         self.server = None
@@ -151,7 +151,7 @@
         self.state = "ready"
         self.orders = 0
         self.highest_fence = 0
-        self.busy_until = 0.0
+        self.loading = {}  # When the load of a model ends.
         self.running = {}
         self.heartbeat_address = None
 
@@ -195,9 +195,16 @@
                 "cold_remaining_ms": 0, "sequence": self.sequence, "born": self.born}
         if self.is_engine:
             body["stage"] = "both"
-            body["models"] = [{"name": self.model, "version": self.version, "adapters": []}]
+            body["models"] = self.model_list()
         return body
 
+    def model_list(self):
+        return [{"name": model, "version": version, "adapters": []}
+                for model, version in self.versions.items()]
+
+    def is_loading(self, model):
+        return time.monotonic() < self.loading.get(model, 0.0)
+
     async def announce(self):
         status, answer, _ = await self.control.call(
             "PUT", f"/v1/instances/{self.id}", self.announcement(), self.heartbeat_address)
@@ -229,11 +236,11 @@
             "DELETE", f"/v1/instances/{self.id}", {"born": self.born})
         return node if status == 200 else None
 
-    def headers(self, request_id):
+    def headers(self, request_id, model=""):
         fields = {"Request-Attempt-Id": request_id, "Server-Stamp": f"stamp.{self.id}.{request_id}",
                   "Server-Load": f"{len(self.running)},0,{self.slots}"}
-        if self.is_engine:
-            fields["Weight-Versions"] = self.version
+        if model in self.versions:
+            fields["Weight-Versions"] = self.versions[model]
         return fields
 
     @staticmethod
@@ -259,6 +266,7 @@
 
     async def serve_request(self, method, path, headers, body, writer):
         request_id = headers.get("request-attempt-id", "")
+        model = headers.get("model", "")
         if headers.get("expect-instance", self.id) != self.id:
             self.answer(writer, 421, {"Not-Run": "1", "Request-Attempt-Id": request_id})
         elif path == "/health":
@@ -276,11 +284,12 @@
             self.record.write(f"sampler {self.id} begins {request_id} and crashes")
             self.crash()
             raise ConnectionResetError
-        elif len(self.running) >= self.slots or time.monotonic() < self.busy_until:
-            self.answer(writer, 503, {"Not-Run": "1", **self.headers(request_id)})
-        elif self.is_engine and headers.get("expect-version", str(self.version)) != str(
-                self.version):
-            self.answer(writer, 421, {"Not-Run": "1", **self.headers(request_id)})
+        elif self.is_engine and model not in self.versions:
+            self.answer(writer, 500, self.headers(request_id))
+        elif len(self.running) >= self.slots or self.is_loading(model):
+            self.answer(writer, 503, {"Not-Run": "1", **self.headers(request_id, model)})
+        elif int(headers.get("expect-version", "0")) not in (0, self.versions.get(model)):
+            self.answer(writer, 421, {"Not-Run": "1", **self.headers(request_id, model)})
         else:
             key = object()
             self.running[key] = request_id
@@ -299,7 +308,8 @@
             self.answer(writer, 200, self.headers(request_id), request_id.encode())
             return
         head = "HTTP/1.1 200 OK\r\n" + "".join(
-            f"{name}: {value}\r\n" for name, value in self.headers(request_id).items())
+            f"{name}: {value}\r\n"
+            for name, value in self.headers(request_id, headers["model"]).items())
         writer.write(f"{head}Content-Type: text/event-stream\r\n"
                      "Transfer-Encoding: chunked\r\n\r\n".encode())
         spoil_at = 0
@@ -327,8 +337,9 @@
 
     def report(self):
         return {"stage": "both",
-                "models": [{"name": self.model, "version": self.version, "adapters": []}],
-                "busy": time.monotonic() < self.busy_until, "sequence": self.orders,
+                "models": self.model_list(),
+                "busy": any(self.is_loading(model) for model in self.versions),
+                "sequence": self.orders,
                 "waiting_requests": 0, "running_requests": len(self.running), "kv_used": 0,
                 "kv_total": 80959, "handles": 0}
 
@@ -338,14 +349,17 @@
         if order["fencing_token"] < self.highest_fence:
             return 412
         self.highest_fence = order["fencing_token"]
-        if time.monotonic() < self.busy_until or order.get("expected", self.orders) != self.orders:
+        model, version = order["model"], order["version"]
+        if model not in self.versions:
+            return 400
+        if self.report()["busy"] or order.get("expected", self.orders) != self.orders:
             return 409
-        if order["version"] <= self.version:
+        if version <= self.versions[model]:
             return 200
         self.orders += 1
-        self.version = order["version"]
-        self.busy_until = time.monotonic() + 0.9
-        self.record.write(f"sampler {self.id} loads version {self.version}")
+        self.versions[model] = version
+        self.loading[model] = time.monotonic() + 0.9
+        self.record.write(f"sampler {self.id} loads {model} version {version}")
         return 202
 
 
@@ -399,7 +413,7 @@
             "items": items}
 
 
-def configuration(version, host, model, result_deadline_ms, single_version, engines="tutors",
+def configuration(version, host, models, result_deadline_ms, single_version, engines="tutors",
                   plain="desk"):
     """A configuration like that of a small site: one rollout and one safe route."""
     return {
@@ -418,7 +432,7 @@
              "engine": {"slots": 12, "kv_cache_tokens": 80959, "kv_token_bytes": 18432,
                         "link_mbps": 2900000.0, "moves": True, "backups": True, "stride": 42,
                         "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0,
-                        "models": [{"name": model}]}},
+                        "models": [{"name": model} for model in models]}},
             {"name": plain, "health_check_path": "/health", "connection_limit": 257,
              "protocol": "h1", "tls": False}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 33554432,
