--- a/review/common/case.py
+++ b/review/common/case.py
@@ -6,6 +6,7 @@
 import pathlib
 import signal
 import sys
+import traceback
 
 import deployment
 import stand_ins
@@ -108,4 +109,7 @@
     except deployment.CannotRun as problem:
         print(f"could not run: {problem}")
         code = COULD_NOT_RUN
+    except Exception:  # A fault of the script must not look like a broken rule.
+        traceback.print_exc()
+        code = COULD_NOT_RUN
     sys.exit(code)
