--- a/review/4/scenario.py
+++ b/review/4/scenario.py
@@ -11,7 +11,7 @@
 
 GATEWAYS = 6
 FROZEN = 2        # 0.35 of 6, rounded down.
-FREEZE_S = 6.0
+FREEZE_S = 5.9    # At most 6.0, with the signals.
 PATIENCE_S = 1.0  # "If a node has not read an idempotent request after one second"
 DEADLINE_S = 4.0  # result_deadline_ms of the route, from the first submission on.
 CANCEL_S = 3.0
--- a/review/common/case.py
+++ b/review/common/case.py
@@ -18,6 +18,7 @@
 KEPT, BROKEN, COULD_NOT_RUN = 0, 1, 2
 # With the start of the deployment below the 120 s that a script may take.
 SCENARIO_LIMIT_S = 85
+IDLE_S = 5.0  # Of the rule LOST: "has been at no sampler for 5 s".
 
 
 class Case:
@@ -74,6 +75,37 @@
             if not machine.running():
                 raise deployment.CannotRun(f"{machine.name} is not running")
 
+    def judge_step(self, items, results, submitted):
+        """Applies the rule LOST to a step that has run out of time now.
+
+        Returns the items that break it, and how many unlisted items were finished.
+        """
+        now = self.record.now()
+        finished, last_end, busy_until = {}, {}, submitted
+        places = running = 0
+        for engine in self.engines:
+            finished.update(engine.finished)
+            running += len(engine.running)
+            places += engine.slots if engine.server.is_serving() else 0
+            busy_until = max([busy_until, *engine.last_run_end.values()])
+            for item, ended in engine.last_run_end.items():
+                last_end[item] = max(last_end.get(item, 0), ended)
+        unlisted = [item for item in items if item not in results]
+        whole = [item for item in unlisted if item in finished]
+        lost = [item for item in unlisted if item not in finished
+                and now - last_end.get(item, submitted) >= IDLE_S]
+        self.record.write(f"the step has run out of time: {len(results)} of {len(items)} items "
+                          f"are listed, {len(whole)} more were finished by samplers")
+        self.record.write(f"{running} of {places} places are taken; the last run at any sampler "
+                          f"ended {now - busy_until:.1f} s ago")
+        for item in lost:
+            self.record.write(f"{item}: finished by no sampler, at none for "
+                              f"{now - last_end.get(item, submitted):.1f} s")
+        # Half full at no time of the 5 s: here, no sampler has run anything.
+        if running or now - busy_until < IDLE_S:
+            return [], whole
+        return lost, whole
+
     async def close(self):
         for sampler in self.engines + self.plain:
             await sampler.stop()
