Do not count failing engines as holders of weights

An engine on which everything has failed for a second no longer counts, and is the last to load. An accepted order ends its outage, as an engine with old weights gets no sample that could show it.

--- a/src/limpethatch/version/engine_table.cc
+++ b/src/limpethatch/version/engine_table.cc
@@ -20,6 +20,10 @@
   return held.loading_version != 0 ? held.loading_version : held.version;
 }
 
+bool EngineState::IsFailing(TimePoint now) const {
+  return failing_since && now - *failing_since >= EngineTable::kMinOutage;
+}
+
 void EngineTable::Announce(const wire::TargetRecord& record) {
   if (record.gone() || record.draining() || record.weights().empty()) {
     Drop(record.id());
@@ -37,6 +41,7 @@
     engine.event_gap = {};
     engine.backoff_until = {};
     engine.backoff = {};
+    engine.failing_since.reset();
   }
   engine.id = record.id();
   engine.address = address;
@@ -105,12 +110,22 @@
                         ? kInitialBackoff
                         : std::min(2 * engine->backoff, kMaxBackoff);
   engine->backoff_until = now + engine->backoff;
+  if (!engine->failing_since) {
+    engine->failing_since = now;
+  }
 }
 
 void EngineTable::RecordSuccess(std::string_view id) {
   if (EngineState* engine = Find(id)) {
     engine->backoff = {};
     engine->backoff_until = {};
+    engine->failing_since.reset();
+  }
+}
+
+void EngineTable::RecordContact(std::string_view id) {
+  if (EngineState* engine = Find(id)) {
+    engine->failing_since.reset();
   }
 }
 
--- a/src/limpethatch/version/engine_table.h
+++ b/src/limpethatch/version/engine_table.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -47,7 +48,11 @@
   Duration event_gap{};
   TimePoint backoff_until;  // No samples before this, after a failure.
   Duration backoff{};       // Doubles with each consecutive failure.
+  // Time of the first failure since the engine last answered.
+  std::optional<TimePoint> failing_since;
 
+  // Whether all that was sent to the engine for at least kMinOutage has failed.
+  bool IsFailing(TimePoint now) const;
   bool Usable(TimePoint now) const { return now >= backoff_until; }
   // The version that a new sample of the model would run on; 0 if the engine
   // does not take new samples of it.
@@ -56,6 +61,8 @@
 
 class EngineTable {
  public:
+  // Failures within this time may be those of a single connection or stall.
+  static constexpr Duration kMinOutage = std::chrono::seconds(1);
   // Time without new samples after a first failure; doubled with each further
   // one up to the maximum.
   static constexpr Duration kInitialBackoff = std::chrono::milliseconds(250);
@@ -79,7 +86,10 @@
                       std::string_view model,
                       uint64_t version);
   void RecordFailure(std::string_view id, TimePoint now);
+  // A sample made progress on the engine.
   void RecordSuccess(std::string_view id);
+  // The engine answered, which does not show that it can run samples.
+  void RecordContact(std::string_view id);
   // Adds the time between two events of a sample to the engine's average.
   void ObserveEventGap(std::string_view id, Duration gap);
   // Median over all engines of the service; 0 while unknown.
--- a/src/limpethatch/version/weight_rollout.cc
+++ b/src/limpethatch/version/weight_rollout.cc
@@ -39,14 +39,15 @@
     uint64_t newest,
     size_t models,
     const std::vector<EngineState*>& may_load,
-    const EngineTable& engine_table) const {
+    const EngineTable& engine_table,
+    TimePoint now) const {
   std::map<std::string_view, size_t> newest_by_zone;
   size_t engines = 0;
   size_t on_newest = 0;
   size_t usable = 0;
   for (const auto& [id, engine] : engine_table.engines()) {
     const auto found = engine.models.find(model);
-    if (found == engine.models.end()) {
+    if (found == engine.models.end() || engine.IsFailing(now)) {
       continue;
     }
     const uint64_t held_version =
@@ -62,9 +63,6 @@
       std::min(options_.max_newest_share, 1.0 / static_cast<double>(models));
   const auto max_on_newest =
       static_cast<size_t>(std::ceil(static_cast<double>(engines) * share));
-  if (on_newest >= max_on_newest) {
-    return std::nullopt;
-  }
   LoadCandidate best;
   for (EngineState* engine : may_load) {
     const auto found = engine->models.find(model);
@@ -77,15 +75,22 @@
       continue;
     }
     const bool stale = held_version + options_.usable_lag < newest;
+    const bool failing = engine->IsFailing(now);
+    // No sample would show that a stale engine works again.
+    const bool needs_contact = failing && stale;
+    if (on_newest >= max_on_newest && !needs_contact) {
+      continue;
+    }
     const auto running_count = engine->running_by_model.find(model);
     const uint32_t running_samples =
         running_count == engine->running_by_model.end() ? 0
                                                         : running_count->second;
     const size_t in_zone = newest_by_zone[engine->zone];
     if (!best.engine ||
-        std::tuple(!stale, in_zone, running_samples) <
-            std::tuple(!best.stale, best.in_zone, best.running)) {
-      best = {stale, in_zone, running_samples, engine, model, newest, 0};
+        std::tuple(failing, !stale, in_zone, running_samples) <
+            std::tuple(best.failing, !best.stale, best.in_zone, best.running)) {
+      best = {failing, stale, in_zone, running_samples,
+              engine,  model, newest,  0};
     }
   }
   if (!best.engine) {
@@ -140,9 +145,11 @@
     }
     std::optional<LoadCandidate> next;
     for (const auto& [model, version] : newest) {
-      const auto candidate =
-          FindBestLoad(model, version, newest.size(), may_load, engine_table);
-      if (candidate && (!next || candidate->usable < next->usable)) {
+      const auto candidate = FindBestLoad(model, version, newest.size(),
+                                          may_load, engine_table, now);
+      if (candidate &&
+          (!next || std::pair(candidate->failing, candidate->usable) <
+                        std::pair(next->failing, next->usable))) {
         next = candidate;
       }
     }
@@ -165,6 +172,7 @@
   if (!engine) {
     return;
   }
+  engine_table.RecordContact(load.engine);
   EngineModel& model = engine->models[load.model];
   if (model.loading_version == load.version) {
     model.paused_until = now + options_.expected_load_time;
@@ -179,6 +187,9 @@
   if (!engine) {
     return;
   }
+  if (engine->IsFailing(now)) {
+    retry_at_[load.engine] = now + EngineTable::kMaxBackoff;
+  }
   EngineModel& model = engine->models[load.model];
   if (model.loading_version == load.version) {
     model.loading_version = 0;
--- a/src/limpethatch/version/weight_rollout.h
+++ b/src/limpethatch/version/weight_rollout.h
@@ -8,7 +8,9 @@
 // engines, which serve at the same time. Zones are balanced, so that some
 // engines remain if one zone is lost. The model with the fewest usable engines
 // goes first. A load always fetches the newest version, and the number of
-// concurrent loads is limited to what the store serves at full speed.
+// concurrent loads is limited to what the store serves at full speed. Engines
+// on which everything fails do not count as having any version; they are the
+// last to load.
 #ifndef LIMPETHATCH_VERSION_WEIGHT_ROLLOUT_H_
 #define LIMPETHATCH_VERSION_WEIGHT_ROLLOUT_H_
 
@@ -70,6 +72,7 @@
 
  private:
   struct LoadCandidate {
+    bool failing = false;
     bool stale = false;  // The engine has no usable version of the model.
     size_t in_zone = 0;  // Engines of its zone with the newest version.
     uint32_t running = 0;
@@ -93,7 +96,8 @@
       uint64_t newest,
       size_t models,
       const std::vector<EngineState*>& may_load,
-      const EngineTable& engine_table) const;
+      const EngineTable& engine_table,
+      TimePoint now) const;
   static LoadsByService CountLoads(const EngineTable& engine_table,
                                    TimePoint now);
   // Takes each engine into account once, however many models there are.
--- a/tests/version/weight_rollout_test.cc
+++ b/tests/version/weight_rollout_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,7 +57,12 @@
         load = under_way_.erase(load);
         Announce(engine);
       }
+      FailRuns();
       for (const WeightLoad& load : rollout.Plan(newest, engine_table, now)) {
+        if (unreachable.contains(load.engine)) {
+          rollout.OnNotAccepted(load, engine_table, now);
+          continue;
+        }
         rollout.OnAccepted(load, engine_table, now);
         under_way_.emplace_back(load, now + kLoadTime);
         ++loads;
@@ -74,14 +80,31 @@
     return usable;
   }
 
+  // Whether the engine has the newest version of the model.
+  bool HasNewest(int engine, int model) const {
+    return versions_.at({engine, model}) ==
+           newest.at("model" + std::to_string(model));
+  }
+
   EngineTable engine_table;
   WeightRollout rollout;
+  // Engines that lose all orders and samples. They still announce themselves.
+  std::set<std::string> unreachable;
   std::map<std::string, uint64_t> newest;
   TimePoint now{seconds(100)};
   int loads = 0;
   size_t most_at_once = 0;
 
  private:
+  // Samples are tried at unreachable engines whenever their backoff allows.
+  void FailRuns() {
+    for (const std::string& id : unreachable) {
+      if (engine_table.Find(id)->Usable(now)) {
+        engine_table.RecordFailure(id, now);
+      }
+    }
+  }
+
   const int engines_;
   const int models_;
   std::map<std::pair<int, int>, uint64_t> versions_;
@@ -154,6 +177,62 @@
   cr_assert(engine.ServableVersion("model0", fleet.now + seconds(1)) == 2);
 }
 
+// A lost engine counted as holder of the newest version, so that no other one
+// was ordered to load it and no sample could run.
+Test(weight_rollout, a_lost_holder_of_the_newest_version_is_replaced) {
+  FakeFleet fleet(3, 3);
+  for (const char* model : {"model0", "model1", "model2"}) {
+    fleet.newest[model] = 2;
+  }
+  fleet.Run(seconds(4));
+  int holder = 0;
+  while (!fleet.HasNewest(holder, 0)) {
+    ++holder;
+  }
+  const std::string lost = "engine" + std::to_string(holder);
+  fleet.unreachable.insert(lost);
+  fleet.Run(EngineTable::kMinOutage + kLoadTime + milliseconds(200));
+  int others = 0;
+  for (int engine = 0; engine < 3; ++engine) {
+    others += engine != holder && fleet.HasNewest(engine, 0) ? 1 : 0;
+  }
+  cr_assert(others == 1);
+}
+
+Test(weight_rollout, a_single_failure_does_not_replace_a_holder) {
+  FakeFleet fleet(3, 3);
+  for (const char* model : {"model0", "model1", "model2"}) {
+    fleet.newest[model] = 2;
+  }
+  fleet.Run(seconds(4));
+  const int loads = fleet.loads;
+  for (int engine = 0; engine < 3; ++engine) {
+    const std::string id = "engine" + std::to_string(engine);
+    fleet.engine_table.RecordFailure(id, fleet.now);
+    fleet.Run(EngineTable::kInitialBackoff);
+    fleet.engine_table.RecordSuccess(id);
+  }
+  fleet.Run(seconds(4));
+  cr_assert(fleet.loads == loads);
+}
+
+// No sample runs on an engine with old weights, so that only an order shows
+// that it can be reached again.
+Test(weight_rollout, an_engine_that_was_cut_off_loads_again) {
+  FakeFleet fleet(4, 1);
+  fleet.newest["model0"] = 2;
+  fleet.Run(seconds(4));
+  fleet.unreachable.insert("engine0");
+  for (uint64_t version = 3; version <= 5; ++version) {
+    fleet.newest["model0"] = version;
+    fleet.Run(seconds(4));
+  }
+  cr_assert(fleet.Usable(0) == 3);
+  fleet.unreachable.clear();
+  fleet.Run(EngineTable::kMaxBackoff + kLoadTime + milliseconds(200));
+  cr_assert(fleet.Usable(0) == 4);
+}
+
 // Pattern: all trainers name a version at the same moment. The time of a plan
 // grew with the squares of engines and models; the limit is some hundred times
 // what it takes now.
