Keep the end of a batch job that is not known yet

The group had kept nothing of the end, as it did not know the job, and the gateways did not look whether the caller was still there.

The end of an unknown job is kept like an ended job without samples, and its submission is answered 503. Earlier builds keep no such ends, so replicas do so from a new log format on.

--- a/src/limpethatch/version/fleet_ledger.cc
+++ b/src/limpethatch/version/fleet_ledger.cc
@@ -28,7 +28,7 @@
       *result->mutable_job() = Apply(command.job_submit());
       return true;
     case wire::Command::kJobEnd:
-      *result->mutable_job() = jobs_.Apply(command.job_end());
+      *result->mutable_job() = Apply(command.job_end());
       return true;
     case wire::Command::kJobForget:
       *result->mutable_job() = jobs_.Apply(command.job_forget());
@@ -72,6 +72,15 @@
   return jobs_.Apply(without_reward_calls);
 }
 
+wire::JobOutcome FleetLedger::Apply(const wire::JobEnd& end) {
+  if (log_format_ >= LogFormat::kEndsOfUnknownJobs || jobs_.Find(end.job())) {
+    return jobs_.Apply(end);
+  }
+  wire::JobOutcome outcome;
+  outcome.set_verdict(wire::JobOutcome::UNKNOWN);
+  return outcome;
+}
+
 wire::WeightsOutcome FleetLedger::Apply(const wire::WeightsNamed& named) {
   uint64_t& version = weights_[named.model()];
   version = std::max(version, named.version());
--- a/src/limpethatch/version/fleet_ledger.h
+++ b/src/limpethatch/version/fleet_ledger.h
@@ -46,6 +46,7 @@
   wire::ConfigurationOutcome Apply(const wire::ConfigurationPut& put);
   wire::WeightsOutcome Apply(const wire::WeightsNamed& named);
   wire::JobOutcome Apply(const wire::JobSubmit& submit);
+  wire::JobOutcome Apply(const wire::JobEnd& end);
 
   wire::FleetConfiguration configuration_;
   std::map<std::string, uint64_t> weights_;
--- a/src/limpethatch/version/job_ledger.cc
+++ b/src/limpethatch/version/job_ledger.cc
@@ -48,6 +48,7 @@
   wire::JobSnapshot saved;
   *saved.mutable_submit() = job.submit;
   saved.set_ended(job.ended);
+  saved.set_never_submitted(job.never_submitted);
   for (const uint32_t index : job.listed) {
     saved.add_listed(index);
   }
@@ -74,6 +75,7 @@
   Job job;
   job.submit = saved.submit();
   job.ended = saved.ended();
+  job.never_submitted = saved.never_submitted();
   job.listed = {saved.listed().begin(), saved.listed().end()};
   for (const wire::SampleRecordSnapshot& sample : saved.samples()) {
     JobSampleRecord& record = job.samples.emplace_back();
@@ -127,8 +129,9 @@
 }
 
 wire::JobOutcome JobLedger::Apply(const wire::JobSubmit& submit) {
-  if (jobs_.contains(submit.job())) {
-    return MakeOutcome(wire::JobOutcome::ACCEPTED);
+  if (const Job* known = Find(submit.job())) {
+    return MakeOutcome(known->never_submitted ? wire::JobOutcome::ENDED
+                                              : wire::JobOutcome::ACCEPTED);
   }
   Job& job = jobs_[submit.job()];
   job.submit = submit;
@@ -209,11 +212,13 @@
 }
 
 wire::JobOutcome JobLedger::Apply(const wire::JobEnd& end) {
-  const auto found = jobs_.find(end.job());
-  if (found == jobs_.end()) {
-    return MakeOutcome(wire::JobOutcome::UNKNOWN);
-  }
+  const auto [found, added] = jobs_.try_emplace(end.job());
   Job& job = found->second;
+  if (added) {
+    job.submit.set_job(end.job());
+    job.never_submitted = true;
+    order_.push_back(end.job());
+  }
   if (!job.ended) {
     job.ended = true;
     std::erase_if(unscored_,
@@ -338,7 +343,7 @@
 wire::JobPage JobLedger::Page(std::string_view id, uint64_t after) const {
   wire::JobPage page;
   const Job* job = Find(id);
-  if (!job) {
+  if (!job || job->never_submitted) {
     return page;
   }
   page.set_known(true);
@@ -458,6 +463,7 @@
       continue;
     }
     job.ended = true;
+    job.never_submitted = saved.never_submitted();
     job.serialised = serialised;
     job.serialised_positions = static_cast<size_t>(saved.listed_size());
     job.serialised_samples = static_cast<size_t>(saved.samples_size());
--- a/src/limpethatch/version/job_ledger.h
+++ b/src/limpethatch/version/job_ledger.h
@@ -7,6 +7,9 @@
 // is kept as well, so that another engine, or a later job with the same
 // samples, can resume from it.
 //
+// The end of a job that is not known is kept like an ended job, since its
+// submission may still be on its way.
+//
 // A sample with a reward call is listed as completed once its text is recorded
 // whole and, later, its score. Until then it is open and awaits its score.
 #ifndef LIMPETHATCH_VERSION_JOB_LEDGER_H_
@@ -68,6 +71,7 @@
   std::vector<JobSampleRecord> samples;
   std::vector<uint32_t> listed;  // The result list, as sample indices.
   bool ended = false;
+  bool never_submitted = false;  // Its end came first.
   // Set once the job has ended: the whole job as a serialised
   // wire::FleetSnapshot, which then holds the only copy of its samples and
   // results.
--- a/src/limpethatch/version/log_format.h
+++ b/src/limpethatch/version/log_format.h
@@ -13,10 +13,11 @@
 // Values are stored: they are only ever added, in ascending order.
 enum class LogFormat : uint32_t {
   kBase = 0,
-  kScoredSamples = 1,  // Samples with reward calls, and their scores.
+  kScoredSamples = 1,      // Samples with reward calls, and their scores.
+  kEndsOfUnknownJobs = 2,  // The end of a job that was not submitted yet.
 };
 
-inline constexpr LogFormat kNewestLogFormat = LogFormat::kScoredSamples;
+inline constexpr LogFormat kNewestLogFormat = LogFormat::kEndsOfUnknownJobs;
 
 }  // namespace limpethatch
 
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -269,18 +269,19 @@
   *request.mutable_command()->mutable_job_submit() = submit;
   const ControlClient::Answer answer = control_client_.SendRequest(
       yield, std::move(request), Clock::now() + kJobCallTimeout);
-  const bool route_changed =
-      answer.reply.result().job().verdict() == wire::JobOutcome::ROUTE_CHANGED;
-  const ChangeOutcome outcome = route_changed
-                                    ? ChangeOutcome::kNotDone
-                                    : ToChangeOutcome(answer.certainty);
+  const wire::JobOutcome::Verdict verdict =
+      answer.reply.result().job().verdict();
+  const bool refused = verdict == wire::JobOutcome::ROUTE_CHANGED ||
+                       verdict == wire::JobOutcome::ENDED;
+  const ChangeOutcome outcome =
+      refused ? ChangeOutcome::kNotDone : ToChangeOutcome(answer.certainty);
   Log(LogLevel::kInfo, "job_submitted",
       {{"job", submit.job()},
        {"step", submit.step()},
        {"samples", submit.samples_size()},
        {"min_version", submit.min_version()},
        {"configuration", submit.configuration_version()},
-       {"route_changed", route_changed},
+       {"verdict", wire::JobOutcome::Verdict_Name(verdict)},
        {"outcome", outcome == ChangeOutcome::kDone      ? "accepted"
                    : outcome == ChangeOutcome::kNotDone ? "not_done"
                                                         : "uncertain"}});
--- a/tests/version/fleet_ledger_test.cc
+++ b/tests/version/fleet_ledger_test.cc
@@ -21,6 +21,30 @@
   return command;
 }
 
+void RaiseLogFormat(LogFormat format, FleetLedger* ledger) {
+  wire::Command command;
+  command.mutable_log_format_raise()->set_format(static_cast<uint32_t>(format));
+  wire::CommandResult result;
+  ledger->Apply(command, &result);
+}
+
+wire::JobOutcome::Verdict Submit(const std::string& job, FleetLedger* ledger) {
+  wire::Command command;
+  command.mutable_job_submit()->set_job(job);
+  command.mutable_job_submit()->add_samples()->set_id(job + "-1");
+  wire::CommandResult result;
+  ledger->Apply(command, &result);
+  return result.job().verdict();
+}
+
+wire::JobOutcome::Verdict End(const std::string& job, FleetLedger* ledger) {
+  wire::Command command;
+  command.mutable_job_end()->set_job(job);
+  wire::CommandResult result;
+  ledger->Apply(command, &result);
+  return result.job().verdict();
+}
+
 wire::Route* AddRoute(wire::FleetConfiguration* configuration,
                       const std::string& prefix) {
   wire::Route& route = *configuration->add_routes();
@@ -101,6 +125,33 @@
   cr_assert(ledger.weights().at("coach") == 4);
 }
 
+// An end that was acknowledged for an unknown job was forgotten, so that a late
+// submission of the job was accepted and ran.
+Test(fleet_ledger, a_job_that_was_ended_first_is_never_accepted) {
+  FleetLedger ledger;
+  RaiseLogFormat(LogFormat::kEndsOfUnknownJobs, &ledger);
+  cr_assert(End("job", &ledger) == wire::JobOutcome::ENDED);
+  FleetLedger restored;
+  cr_assert(restored.Restore(ledger.Snapshot()));
+  for (FleetLedger* each : {&ledger, &restored}) {
+    cr_assert(Submit("job", each) == wire::JobOutcome::ENDED);
+    cr_assert(End("job", each) == wire::JobOutcome::ENDED);
+    cr_assert(!each->jobs().Page("job", 0).known());
+    cr_assert(each->jobs().Find("job")->samples.empty());
+    cr_assert(Submit("other", each) == wire::JobOutcome::ACCEPTED);
+  }
+}
+
+// Replicas of earlier builds keep no such ends: all replicas have the same
+// state only if none of them does.
+Test(fleet_ledger, ends_of_unknown_jobs_are_kept_from_their_log_format_on) {
+  FleetLedger ledger;
+  RaiseLogFormat(LogFormat::kScoredSamples, &ledger);
+  cr_assert(End("job", &ledger) == wire::JobOutcome::UNKNOWN);
+  cr_assert(Submit("job", &ledger) == wire::JobOutcome::ACCEPTED);
+  cr_assert(End("job", &ledger) == wire::JobOutcome::ENDED);
+}
+
 Test(configuration_validator, a_valid_configuration_has_no_faults) {
   cr_assert(ValidateConfiguration(Valid()).empty());
 }
