Begin samples of a single version anew when no engine can resume them

The wait for another software version had a limit already.

One function decides now whether an engine can resume a sample, by software and weights, and the same limit holds for both. Failing engines are not worth a wait. A slow run of a single version moves only to engines with the same weights, as any other would discard its text.

sample_scheduler_test: a_single_version_sample_outlives_the_engine_it_ran_on and a_slow_single_version_run_does_not_move_to_new_weights fail with the check taken out.

--- a/src/limpethatch/version/sample_scheduler.cc
+++ b/src/limpethatch/version/sample_scheduler.cc
@@ -140,9 +140,12 @@
                other.software_version == engine.software_version &&
                other.running + 1 < other.slots &&
                other.event_gap < median_gap * options_.slow_factor &&
-               other.ServableVersion(run.model, now) >=
-                   engine.ServableVersion(run.model, now) &&
-               other.ServableVersion(run.model, now) != 0;
+               other.ServableVersion(run.model, now) != 0 &&
+               (run.single_version
+                    ? other.ServableVersion(run.model, now) ==
+                          engine.ServableVersion(run.model, now)
+                    : other.ServableVersion(run.model, now) >=
+                          engine.ServableVersion(run.model, now));
       });
 }
 
@@ -288,18 +291,19 @@
   }
   const SampleText& output = candidate.job->samples[candidate.key.index].output;
   if (output.events == 0) {
-    return BestEngine(candidate, nullptr, now);
+    return BestEngine(candidate, StartFrom::kFirstEvent, now);
   }
   if (EngineState* engine =
-          BestEngine(candidate, &output.software_version, now)) {
+          BestEngine(candidate, StartFrom::kRecordedText, now)) {
     return engine;
   }
   const std::string& service = candidate.job->submit.service();
   const bool may_resume = std::any_of(
       engine_table_.engines().begin(), engine_table_.engines().end(),
       [&](const auto& entry) {
-        return entry.second.service == service &&
-               entry.second.software_version == output.software_version;
+        const EngineState& engine = entry.second;
+        return engine.service == service && !engine.IsFailing(now) &&
+               CanResume(candidate, engine);
       });
   if (may_resume) {
     const auto wait = resume_waits_.try_emplace(candidate.key, now).first;
@@ -307,19 +311,31 @@
       return nullptr;
     }
   }
-  return BestEngine(candidate, nullptr, now);
+  return BestEngine(candidate, StartFrom::kFirstEvent, now);
+}
+
+bool SampleScheduler::CanResume(const Candidate& candidate,
+                                const EngineState& engine) {
+  const wire::JobSubmit& submit = candidate.job->submit;
+  const SampleText& output = candidate.job->samples[candidate.key.index].output;
+  if (engine.software_version != output.software_version) {
+    return false;
+  }
+  if (!submit.single_version() || output.versions.empty()) {
+    return true;
+  }
+  const auto model = engine.models.find(submit.model());
+  return model != engine.models.end() &&
+         std::max(model->second.version, model->second.loading_version) ==
+             output.versions.front();
 }
 
 bool SampleScheduler::Fits(const Candidate& candidate,
                            const EngineState& engine,
                            TimePoint now) const {
   const wire::JobSubmit& submit = candidate.job->submit;
-  const SampleText& output = candidate.job->samples[candidate.key.index].output;
   const uint64_t version = engine.ServableVersion(submit.model(), now);
-  const bool fits_version =
-      version != 0 && version >= submit.min_version() &&
-      (!submit.single_version() || output.versions.empty() ||
-       output.versions.front() == version);
+  const bool fits_version = version != 0 && version >= submit.min_version();
   const auto retry = retry_states_.find(candidate.key);
   const bool excluded = retry != retry_states_.end() &&
                         retry->second.excluded_engine == engine.id &&
@@ -329,7 +345,7 @@
 }
 
 EngineState* SampleScheduler::BestEngine(const Candidate& candidate,
-                                         const std::string* software_version,
+                                         StartFrom start_from,
                                          TimePoint now) {
   const wire::JobSubmit& submit = candidate.job->submit;
   const auto open = open_engines_.find(submit.service());
@@ -351,7 +367,8 @@
   for (EngineState* open_engine : open->second) {
     EngineState& engine = *open_engine;
     const std::string& id = engine.id;
-    if (software_version && engine.software_version != *software_version) {
+    if (start_from == StartFrom::kRecordedText &&
+        !CanResume(candidate, engine)) {
       continue;
     }
     const bool fits_memory =
@@ -399,10 +416,10 @@
   run.group = sample.group();
   run.tokens = sample.prompt_tokens() + sample.expected_tokens();
   const SampleText& output = candidate.job->samples[candidate.key.index].output;
-  run.events =
-      output.software_version == engine.software_version ? output.events : 0;
+  run.events = CanResume(candidate, engine) ? output.events : 0;
   run.expected_events = ExpectedEvents(submit, sample);
   run.quarantined = candidate.suspect;
+  run.single_version = submit.single_version();
   run.last_progress = now;
   rate_limits_.Acquire(engine.id, {}, now);
   ++engine.running;
--- a/src/limpethatch/version/sample_scheduler.h
+++ b/src/limpethatch/version/sample_scheduler.h
@@ -75,8 +75,8 @@
   // Time during which a sample that was moved off an engine does not return
   // there and is not moved again.
   Duration exclusion_period = std::chrono::seconds(3);
-  // Time that a sample with recorded text waits for an engine of the software
-  // version that generated it, before it begins anew on another one.
+  // Time that a sample with recorded text waits for an engine that can resume
+  // it, before it begins anew on another one.
   Duration max_resume_wait = std::chrono::seconds(1);
   // Delay before another try of a sample whose runs broke twice without an
   // event.
@@ -124,6 +124,8 @@
     bool has_event = false;  // At least one event arrived.
     bool stopping = false;
     bool quarantined = false;  // Nothing else may start on its engine.
+    // All events have to be of the same weights.
+    bool single_version = false;
     TimePoint last_progress;
   };
   struct RetryState {
@@ -162,11 +164,16 @@
   // Finds the engines that may take a sample at all, so that the choice for
   // each of many waiting samples does not look at the others.
   void FindOpenEngines(TimePoint now);
-  // The engine that takes the sample at the least cost; null if none can now. A
-  // null `software_version` stands for any.
+  // Whether the engine takes the sample to its end from the recorded text, or
+  // from the first event.
+  enum class StartFrom { kRecordedText, kFirstEvent };
+  // The engine that takes the sample at the least cost; null if none can now.
   EngineState* BestEngine(const Candidate& candidate,
-                          const std::string* software_version,
+                          StartFrom start_from,
                           TimePoint now);
+  // Whether the engine's software and its weights, the version that it serves
+  // or loads, may be combined with the sample's recorded text.
+  static bool CanResume(const Candidate& candidate, const EngineState& engine);
   // Whether the engine may take the sample now, as far as this sample's needs,
   // versions and failures go.
   bool Fits(const Candidate& candidate,
@@ -186,7 +193,7 @@
   std::map<SampleKey, Run> runs_;
   std::map<SampleKey, RetryState> retry_states_;
   std::set<SampleKey> done_unlisted_;
-  // Samples that wait for an engine of their software version, since when.
+  // Samples that wait for an engine that can resume them, since when.
   std::map<SampleKey, TimePoint> resume_waits_;
   // Where suspects run, or will once the other samples there have ended.
   Quarantines quarantines_;
--- a/tests/version/sample_scheduler_test.cc
+++ b/tests/version/sample_scheduler_test.cc
@@ -55,6 +55,7 @@
     submit.set_model("model");
     submit.set_min_version(5);
     submit.set_group_count(group_count);
+    submit.set_single_version(single_version);
     int group_number = 0;
     for (const auto& group : groups) {
       const std::string name = job + "-g" + std::to_string(group_number++);
@@ -104,6 +105,7 @@
   JobLedger jobs;
   SampleScheduler scheduler;
   TimePoint now{seconds(100)};
+  bool single_version = false;  // Of the jobs submitted from now on.
 };
 
 }  // namespace
@@ -564,6 +566,66 @@
   }
 }
 
+// The only engine with the weights of the recorded text was lost, and the
+// sample waited for it until its step was over.
+Test(sample_scheduler, a_single_version_sample_outlives_the_engine_it_ran_on) {
+  SchedulerFixture fixture(0);
+  fixture.single_version = true;
+  fixture.Announce("old", 4, 5);
+  fixture.Announce("new", 4, 6);
+  fixture.Submit("job", {{10}});
+  fixture.RecordEvent("job", 0, "v1");
+  fixture.scheduler.engine_table().RecordFailure("old", fixture.now);
+  cr_assert(fixture.scheduler.Plan(fixture.jobs, fixture.now).starts.empty());
+  while (
+      !fixture.scheduler.engine_table().Find("old")->IsFailing(fixture.now)) {
+    fixture.scheduler.engine_table().RecordFailure("old", fixture.now);
+    fixture.now += milliseconds(100);
+  }
+  const SamplePlan plan = fixture.scheduler.Plan(fixture.jobs, fixture.now);
+  cr_assert_eq(plan.starts.size(), 1);
+  cr_assert(plan.starts[0].engine == "new" && plan.starts[0].version == 6);
+}
+
+Test(sample_scheduler, a_single_version_sample_resumes_with_its_weights) {
+  SchedulerFixture fixture(0);
+  fixture.single_version = true;
+  fixture.Announce("old", 4, 5);
+  fixture.Announce("new", 4, 6);
+  fixture.Submit("job", {{10}, {10}, {10}});
+  for (uint32_t index = 0; index < 3; ++index) {
+    fixture.RecordEvent("job", index, "v1");
+  }
+  const SamplePlan plan = fixture.scheduler.Plan(fixture.jobs, fixture.now);
+  cr_assert_eq(plan.starts.size(), 3);
+  for (const SampleStart& start : plan.starts) {
+    cr_assert(start.engine == "old");
+  }
+}
+
+// Moving the sample would discard its text.
+Test(sample_scheduler, a_slow_single_version_run_does_not_move_to_new_weights) {
+  SchedulerFixture fixture(0);
+  fixture.single_version = true;
+  fixture.Announce("old", 4, 5);
+  for (int i = 0; i < 3; ++i) {
+    fixture.Announce("new" + std::to_string(i), 4, 6);
+  }
+  fixture.Submit("job", {{100}, {100}, {100}, {100}});
+  const auto starts =
+      fixture.Starts(fixture.scheduler.Plan(fixture.jobs, fixture.now));
+  for (uint32_t tick = 1; tick <= 60; ++tick) {
+    fixture.now += milliseconds(20);
+    for (const auto& [index, engine] : starts) {
+      if (engine != "old" || tick % 4 == 0) {
+        fixture.scheduler.RecordEvents(
+            {"job", index}, engine == "old" ? tick / 4 : tick, fixture.now);
+      }
+    }
+    cr_assert(fixture.scheduler.Plan(fixture.jobs, fixture.now).stops.empty());
+  }
+}
+
 // Pattern: steps of all trainers wait behind engines that are all busy. For
 // each waiting sample the plan looked at all engines, and twice for their
 // median. The limit is some ten times what it takes now.
