Spread the models over all engines

The rollout limits each version to a share of the engines and chose the first by id among equals, for each model, so that the same 30 engines had the usable versions of all eight models and 53 had none.

Of engines that are equal otherwise, the one with the fewest usable models loads first.

weight_rollout_test, models_are_spread_over_all_engines: without the count engine 0 has all 8 models.

--- a/src/limpethatch/version/weight_rollout.cc
+++ b/src/limpethatch/version/weight_rollout.cc
@@ -20,8 +20,18 @@
                      });
 }
 
+// The version that the engine has or loads.
+uint64_t HeldVersion(const EngineModel& model) {
+  return std::max(model.version, model.loading_version);
+}
+
 }  // namespace
 
+auto WeightRollout::Rank(const LoadCandidate& candidate) {
+  return std::tuple(candidate.failing, !candidate.stale, candidate.in_zone,
+                    candidate.usable_models, candidate.running);
+}
+
 void WeightRollout::ExpireLoads(EngineTable& engine_table, TimePoint now) {
   for (auto& [id, engine] : engine_table.engines()) {
     for (auto& [name, model] : engine.models) {
@@ -38,7 +48,7 @@
     const std::string& model,
     uint64_t newest,
     size_t models,
-    const std::vector<EngineState*>& may_load,
+    const std::vector<IdleEngine>& may_load,
     const EngineTable& engine_table,
     TimePoint now) const {
   std::map<std::string_view, size_t> newest_by_zone;
@@ -50,8 +60,7 @@
     if (found == engine.models.end() || engine.IsFailing(now)) {
       continue;
     }
-    const uint64_t held_version =
-        std::max(found->second.version, found->second.loading_version);
+    const uint64_t held_version = HeldVersion(found->second);
     ++engines;
     usable += held_version + options_.usable_lag < newest ? 0 : 1;
     if (held_version >= newest) {
@@ -64,13 +73,12 @@
   const auto max_on_newest =
       static_cast<size_t>(std::ceil(static_cast<double>(engines) * share));
   LoadCandidate best;
-  for (EngineState* engine : may_load) {
+  for (const auto& [engine, usable_models] : may_load) {
     const auto found = engine->models.find(model);
     if (found == engine->models.end()) {
       continue;
     }
-    const uint64_t held_version =
-        std::max(found->second.version, found->second.loading_version);
+    const uint64_t held_version = HeldVersion(found->second);
     if (held_version >= newest) {
       continue;
     }
@@ -86,17 +94,16 @@
         running_count == engine->running_by_model.end() ? 0
                                                         : running_count->second;
     const size_t in_zone = newest_by_zone[engine->zone];
-    if (!best.engine ||
-        std::tuple(failing, !stale, in_zone, running_samples) <
-            std::tuple(best.failing, !best.stale, best.in_zone, best.running)) {
-      best = {failing, stale, in_zone, running_samples,
-              engine,  model, newest,  0};
+    const LoadCandidate candidate = {failing,       stale,           in_zone,
+                                     usable_models, running_samples, engine,
+                                     model,         newest,          usable};
+    if (!best.engine || Rank(candidate) < Rank(best)) {
+      best = candidate;
     }
   }
   if (!best.engine) {
     return std::nullopt;
   }
-  best.usable = usable;
   return best;
 }
 
@@ -112,11 +119,22 @@
   return loads;
 }
 
-std::vector<EngineState*> WeightRollout::EnginesThatMayLoad(
+size_t WeightRollout::CountUsableModels(const EngineState& engine,
+                                        const Versions& newest) const {
+  return static_cast<size_t>(
+      std::count_if(newest.begin(), newest.end(), [&](const auto& entry) {
+        const auto found = engine.models.find(entry.first);
+        return found != engine.models.end() &&
+               HeldVersion(found->second) + options_.usable_lag >= entry.second;
+      }));
+}
+
+std::vector<WeightRollout::IdleEngine> WeightRollout::EnginesThatMayLoad(
+    const Versions& newest,
     const LoadsByService& loads,
     EngineTable& engine_table,
     TimePoint now) const {
-  std::vector<EngineState*> may_load;
+  std::vector<IdleEngine> may_load;
   for (auto& [id, engine] : engine_table.engines()) {
     const ServiceLoads& service = loads.find(engine.service)->second;
     const auto max_loading = static_cast<size_t>(
@@ -125,7 +143,7 @@
     if (service.loading < max_loading && !IsLoading(engine, now) &&
         engine.Usable(now) &&
         (retry == retry_at_.end() || now >= retry->second)) {
-      may_load.push_back(&engine);
+      may_load.push_back({&engine, CountUsableModels(engine, newest)});
     }
   }
   return may_load;
@@ -138,8 +156,8 @@
   ExpireLoads(engine_table, now);
   std::vector<WeightLoad> loads;
   while (true) {
-    const std::vector<EngineState*> may_load =
-        EnginesThatMayLoad(CountLoads(engine_table, now), engine_table, now);
+    const std::vector<IdleEngine> may_load = EnginesThatMayLoad(
+        newest, CountLoads(engine_table, now), engine_table, now);
     if (may_load.empty()) {
       return loads;
     }
--- a/src/limpethatch/version/weight_rollout.h
+++ b/src/limpethatch/version/weight_rollout.h
@@ -6,11 +6,12 @@
 // share of the engines, at most half of them. Engines without a usable version
 // of the model come first, so that two successive versions are on different
 // engines, which serve at the same time. Zones are balanced, so that some
-// engines remain if one zone is lost. The model with the fewest usable engines
-// goes first. A load always fetches the newest version, and the number of
-// concurrent loads is limited to what the store serves at full speed. Engines
-// on which everything fails do not count as having any version; they are the
-// last to load.
+// engines remain if one zone is lost. Engines with few usable models come
+// before those with many, so that all engines get samples. The model with the
+// fewest usable engines goes first. A load always fetches the newest version,
+// and the number of concurrent loads is limited to what the store serves at
+// full speed. Engines on which everything fails do not count as having any
+// version; they are the last to load.
 #ifndef LIMPETHATCH_VERSION_WEIGHT_ROLLOUT_H_
 #define LIMPETHATCH_VERSION_WEIGHT_ROLLOUT_H_
 
@@ -73,8 +74,9 @@
  private:
   struct LoadCandidate {
     bool failing = false;
-    bool stale = false;  // The engine has no usable version of the model.
-    size_t in_zone = 0;  // Engines of its zone with the newest version.
+    bool stale = false;        // The engine has no usable version of the model.
+    size_t in_zone = 0;        // Engines of its zone with the newest version.
+    size_t usable_models = 0;  // On its engine.
     uint32_t running = 0;
     EngineState* engine = nullptr;
     std::string model;
@@ -82,28 +84,40 @@
     size_t usable = 0;  // Engines that have or load a usable version.
   };
 
+  // Of the candidates for one model, the one with the lowest rank loads first.
+  static auto Rank(const LoadCandidate& candidate);
+
   // Engines of one service.
   struct ServiceLoads {
     size_t engines = 0;
     size_t loading = 0;
   };
   using LoadsByService = std::map<std::string, ServiceLoads, std::less<>>;
+  using Versions = std::map<std::string, uint64_t>;
+
+  // An engine that may load now.
+  struct IdleEngine {
+    EngineState* engine = nullptr;
+    size_t usable_models = 0;  // That it has or loads a usable version of.
+  };
 
-  // The engine that should load the model next, if any. `may_load` are the
-  // engines that may load now.
+  // The engine that should load the model next, if any.
   std::optional<LoadCandidate> FindBestLoad(
       const std::string& model,
       uint64_t newest,
       size_t models,
-      const std::vector<EngineState*>& may_load,
+      const std::vector<IdleEngine>& may_load,
       const EngineTable& engine_table,
       TimePoint now) const;
   static LoadsByService CountLoads(const EngineTable& engine_table,
                                    TimePoint now);
   // Takes each engine into account once, however many models there are.
-  std::vector<EngineState*> EnginesThatMayLoad(const LoadsByService& loads,
-                                               EngineTable& engine_table,
-                                               TimePoint now) const;
+  std::vector<IdleEngine> EnginesThatMayLoad(const Versions& newest,
+                                             const LoadsByService& loads,
+                                             EngineTable& engine_table,
+                                             TimePoint now) const;
+  size_t CountUsableModels(const EngineState& engine,
+                           const Versions& newest) const;
   void ExpireLoads(EngineTable& engine_table, TimePoint now);
 
   const WeightRolloutOptions options_;
--- a/tests/version/weight_rollout_test.cc
+++ b/tests/version/weight_rollout_test.cc
@@ -72,14 +72,17 @@
   }
 
   int Usable(int model) const {
-    const uint64_t named = newest.at("model" + std::to_string(model));
     int usable = 0;
     for (int i = 0; i < engines_; ++i) {
-      usable += versions_.at({i, model}) + 1 >= named ? 1 : 0;
+      usable += IsUsable(i, model) ? 1 : 0;
     }
     return usable;
   }
 
+  bool IsUsable(int engine, int model) const {
+    return versions_.at({engine, model}) + 1 >=
+           newest.at("model" + std::to_string(model));
+  }
   // Whether the engine has the newest version of the model.
   bool HasNewest(int engine, int model) const {
     return versions_.at({engine, model}) ==
@@ -177,6 +180,28 @@
   cr_assert(engine.ServableVersion("model0", fleet.now + seconds(1)) == 2);
 }
 
+// Pattern: more models than an engine should have. All of them were loaded by
+// the same engines, and the others had no usable version of any model.
+Test(weight_rollout, models_are_spread_over_all_engines) {
+  constexpr int kEngines = 24;
+  constexpr int kModels = 8;
+  FakeFleet fleet(kEngines, kModels);
+  for (uint64_t version = 2; version <= 6; ++version) {
+    for (int m = 0; m < kModels; ++m) {
+      fleet.newest["model" + std::to_string(m)] = version;
+    }
+    fleet.Run(seconds(7));
+  }
+  for (int engine = 0; engine < kEngines; ++engine) {
+    int usable = 0;
+    for (int m = 0; m < kModels; ++m) {
+      usable += fleet.IsUsable(engine, m) ? 1 : 0;
+    }
+    cr_assert(usable >= 1 && usable <= 3, "engine %d has %d models", engine,
+              usable);
+  }
+}
+
 // A lost engine counted as holder of the newest version, so that no other one
 // was ordered to load it and no sample could run.
 Test(weight_rollout, a_lost_holder_of_the_newest_version_is_replaced) {
