--- a/src/limpethatch/process/consensus.cc
+++ b/src/limpethatch/process/consensus.cc
@@ -137,8 +137,7 @@
   }
   snapshot_to_send_ = MakeSnapshot(index, std::move(state));
   for (auto& [id, peer] : progress_) {
-    peer.snapshot_offset = 0;
-    peer.chunk_sent_at.reset();
+    peer.RestartSnapshot();
   }
 }
 
@@ -165,12 +164,14 @@
     return;
   }
   const uint64_t index = snapshot_to_install_->index;
-  // Waits for active peers that lack only a few entries: without these entries
-  // they would need the whole snapshot.
+  // Waits for active peers that lack only a few entries, or that will once they
+  // have a snapshot: without these entries they would need another snapshot.
   const TimePoint active_since = now - options_.election_timeout;
+  const bool may_wait =
+      leading() && log_.command_bytes() < options_.max_retained_bytes;
   for (const auto& [id, peer] : progress_) {
-    if (leading() && peer.last_acked_sent_at > active_since && peer.match > 0 &&
-        peer.match < index) {
+    if (may_wait && peer.last_acked_sent_at > active_since &&
+        (peer.match > 0 || peer.receives_snapshot()) && peer.match < index) {
       return;
     }
   }
@@ -181,8 +182,7 @@
   log_.Install(snapshot);
   snapshot_to_persist_ = std::move(snapshot);
   for (auto& [id, peer] : progress_) {
-    peer.snapshot_offset = 0;
-    peer.chunk_sent_at.reset();
+    peer.RestartSnapshot();
   }
 }
 
--- a/src/limpethatch/process/consensus.h
+++ b/src/limpethatch/process/consensus.h
@@ -58,8 +58,12 @@
     uint64_t match = 0;
     uint64_t next = 1;
     uint64_t disk = 0;
+    // Bytes of the snapshot that the peer has, and that were sent to it.
     uint64_t snapshot_offset = 0;
-    // When the snapshot chunk in flight was sent; nullopt if none is.
+    uint64_t snapshot_sent = 0;
+    // Number of chunks that may be in flight. Grows with each answer.
+    size_t snapshot_window = 1;
+    // When the latest of the chunks in flight was sent; nullopt if none is.
     std::optional<TimePoint> chunk_sent_at = std::nullopt;
     // When the latest of the messages that the peer has answered was sent.
     TimePoint last_acked_sent_at{};
@@ -67,6 +71,10 @@
     // session then; 0 if there was none.
     int64_t replied_at = 0;
     uint64_t session = 0;
+
+    bool receives_snapshot() const { return snapshot_offset > 0; }
+    // The snapshot is sent from its first byte on.
+    void RestartSnapshot();
   };
 
   Consensus(ConsensusOptions options,
@@ -86,7 +94,8 @@
   void OnPersisted(uint64_t sequence, TimePoint now);
   // Replaces the log up to `index`, which must have been applied, by `state`,
   // the state machine's state after that entry. The log is truncated only once
-  // the peers that follow closely have the entries.
+  // the peers that follow closely or receive a snapshot have the entries, or
+  // once it has max_retained_bytes.
   void Compact(uint64_t index, ByteRope state);
   // Answers a RequestStateAction with the state after `index`, the last
   // applied entry.
@@ -182,7 +191,9 @@
                        TimePoint now,
                        wire::Append* append) const;
   void RecordConfirmation(const wire::Append& append, TimePoint now);
-  void SendSnapshotChunk(const std::string& to, TimePoint now);
+  // Sends the chunks that are due. Those in flight count as lost.
+  void ResumeSnapshot(const std::string& to, TimePoint now);
+  void SendSnapshotChunks(const std::string& to, TimePoint now);
   SharedSnapshot MakeSnapshot(uint64_t index, ByteRope state) const;
   void OnAppend(const wire::ConsensusMessage& message, TimePoint now);
   void StoreEntries(const wire::Append& append);
--- a/src/limpethatch/process/consensus_replication.cc
+++ b/src/limpethatch/process/consensus_replication.cc
@@ -17,6 +17,13 @@
 
 }  // namespace
 
+void Consensus::Progress::RestartSnapshot() {
+  snapshot_offset = 0;
+  snapshot_sent = 0;
+  snapshot_window = 1;
+  chunk_sent_at.reset();
+}
+
 void Consensus::AppendAsLeader(wire::LogEntry entry) {
   entry.set_index(log_.last_index() + 1);
   entry.set_term(term());
@@ -63,7 +70,7 @@
   Progress& peer = progress_[to];
   const std::optional<uint64_t> previous_term = log_.TermAt(peer.next - 1);
   if (!previous_term) {
-    SendSnapshotChunk(to, now);
+    ResumeSnapshot(to, now);
     return;
   }
   wire::ConsensusMessage message = NewMessage();
@@ -130,27 +137,42 @@
                                                  : std::nullopt;
 }
 
-void Consensus::SendSnapshotChunk(const std::string& to, TimePoint now) {
+void Consensus::ResumeSnapshot(const std::string& to, TimePoint now) {
   if (!snapshot_to_send_ || snapshot_to_send_->index < log_.snapshot_index()) {
     state_requested_ = true;
     return;
   }
   Progress& peer = progress_[to];
-  const StateSnapshot& snapshot = *snapshot_to_send_;
-  wire::ConsensusMessage message = NewMessage();
-  wire::SnapshotChunk& chunk = *message.mutable_snapshot_chunk();
-  chunk.set_index(snapshot.index);
-  chunk.set_term(snapshot.term);
-  *chunk.mutable_members() = snapshot.members.value_or(wire::Members());
   peer.snapshot_offset =
-      std::min<uint64_t>(peer.snapshot_offset, snapshot.state.size());
-  chunk.set_offset(peer.snapshot_offset);
-  chunk.set_total(snapshot.state.size());
-  chunk.set_data(snapshot.state.Substr(peer.snapshot_offset,
-                                       options_.snapshot_chunk_bytes));
-  chunk.set_sent_at(ToWireTime(now));
-  peer.chunk_sent_at = now;
-  Send(to, std::move(message));
+      std::min<uint64_t>(peer.snapshot_offset, snapshot_to_send_->state.size());
+  peer.snapshot_sent = peer.snapshot_offset;
+  peer.snapshot_window = 1;
+  SendSnapshotChunks(to, now);
+}
+
+void Consensus::SendSnapshotChunks(const std::string& to, TimePoint now) {
+  Progress& peer = progress_[to];
+  const StateSnapshot& snapshot = *snapshot_to_send_;
+  const uint64_t limit = std::min<uint64_t>(
+      snapshot.state.size(),
+      peer.snapshot_offset +
+          peer.snapshot_window * options_.snapshot_chunk_bytes);
+  // An empty state takes one chunk, too.
+  do {
+    wire::ConsensusMessage message = NewMessage();
+    wire::SnapshotChunk& chunk = *message.mutable_snapshot_chunk();
+    chunk.set_index(snapshot.index);
+    chunk.set_term(snapshot.term);
+    *chunk.mutable_members() = snapshot.members.value_or(wire::Members());
+    chunk.set_offset(peer.snapshot_sent);
+    chunk.set_total(snapshot.state.size());
+    chunk.set_data(snapshot.state.Substr(peer.snapshot_sent,
+                                         options_.snapshot_chunk_bytes));
+    chunk.set_sent_at(ToWireTime(now));
+    peer.snapshot_sent += chunk.data().size();
+    peer.chunk_sent_at = now;
+    Send(to, std::move(message));
+  } while (peer.snapshot_sent < limit);
 }
 
 void Consensus::OnAppend(const wire::ConsensusMessage& message, TimePoint now) {
@@ -346,11 +368,19 @@
     return;
   }
   peer->snapshot_offset = reply.next_offset();
-  peer->chunk_sent_at.reset();
   if (reply.next_offset() >= snapshot_to_send_->state.size()) {
     peer->next = std::max(peer->next, reply.index() + 1);
-  } else {
-    SendSnapshotChunk(message.from(), now);
+    peer->chunk_sent_at.reset();
+    return;
+  }
+  peer->snapshot_window =
+      std::min(peer->snapshot_window + 1, options_.snapshot_window);
+  peer->snapshot_sent = std::max(peer->snapshot_sent, peer->snapshot_offset);
+  const uint64_t in_flight = peer->snapshot_sent - peer->snapshot_offset;
+  const bool all_sent = peer->snapshot_sent >= snapshot_to_send_->state.size();
+  if (!all_sent &&
+      in_flight < peer->snapshot_window * options_.snapshot_chunk_bytes) {
+    SendSnapshotChunks(message.from(), now);
   }
 }
 
--- a/src/limpethatch/process/consensus_types.h
+++ b/src/limpethatch/process/consensus_types.h
@@ -36,6 +36,11 @@
   // A chunk takes a few milliseconds on a link of some 100 Mbit/s, so that the
   // heartbeats queued behind it are not delayed.
   size_t snapshot_chunk_bytes = 256 * 1024;
+  // Maximum number of chunks in flight to one peer. One at a time would wait
+  // for both event loops at each chunk.
+  size_t snapshot_window = 4;
+  // Commands that the log keeps for peers that have not received them yet.
+  size_t max_retained_bytes = 32 * 1024 * 1024;
   size_t max_command_bytes = 8 * 1024 * 1024;
   // Random identity that the disk takes if a peer refuses the present one.
   uint64_t replacement_disk_id = 0;
