Limit the share of the event loop that planning takes

A plan that takes long is followed by a pause of three times its length, at most 100 ms, so that consensus and announcements come first.

--- a/src/programs/control/fleet_leader.cc
+++ b/src/programs/control/fleet_leader.cc
@@ -67,10 +67,18 @@
   if (std::exchange(leader_tasks_scheduled_, true)) {
     return;
   }
-  boost::asio::post(io_, [this] {
+  const auto run = [this] {
     leader_tasks_scheduled_ = false;
-    RunLeaderTasks(Clock::now());
-  });
+    const TimePoint start = Clock::now();
+    RunLeaderTasks(start);
+    leader_tasks_pacer_.OnRun(start, Clock::now());
+  };
+  const Duration delay = leader_tasks_pacer_.next_run() - Clock::now();
+  if (delay > Duration::zero()) {
+    timers_.After(delay, [run](TimePoint) { run(); });
+  } else {
+    boost::asio::post(io_, run);
+  }
 }
 
 void FleetService::InitialiseEngineTable() {
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -155,7 +155,7 @@
   });
   timers_.Every(kLeaderTaskPeriod, [this](TimePoint now) {
     TrackQuorumContact(now);
-    RunLeaderTasks(now);
+    ScheduleLeaderTasks();
   });
   timers_.Every(kPendingReadPeriod, [this](TimePoint now) {
     AnswerConfirmedReads(now);
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -24,6 +24,7 @@
 #include "limpethatch/process/member_planner.h"
 #include "limpethatch/process/target_registry.h"
 #include "limpethatch/process/transfer_queue.h"
+#include "limpethatch/process/work_pacer.h"
 #include "limpethatch/request/stream_origins.h"
 #include "limpethatch/version/sample_scheduler.h"
 #include "limpethatch/version/weight_rollout.h"
@@ -90,6 +91,8 @@
   // A control instance counts as alive for this time after its last digest,
   // which covers several lost digests.
   static constexpr Duration kAliveTimeout = std::chrono::milliseconds(1000);
+  // Maximum share of the event loop for planning the leader's work.
+  static constexpr double kMaxLeaderTaskShare = 0.25;
 
   struct Peer {
     wire::ControlInstanceRecord record;
@@ -330,6 +333,7 @@
   std::map<std::string, TargetLoad, std::less<>> reward_target_loads_;
   // This leader has proposed the newest log format.
   bool log_format_proposed_ = false;
+  WorkPacer leader_tasks_pacer_{kMaxLeaderTaskShare};
 
   std::deque<SampleStart> planned_starts_;
   bool starts_scheduled_ = false;
