Count consensus messages as contact with a member

On the large deployment the leader replaced members that answered it: one that does not serve sends no digests to a leader that does not serve either, and the leader looked at digests only. Each replacement needs the whole state.

Any message counts now.

member_replacement_test fails when digests alone count.

--- a/src/programs/control/control_service.h
+++ b/src/programs/control/control_service.h
@@ -37,6 +37,7 @@
   // Null unless the settings enable a fleet.
   FleetService* fleet() { return fleet_ ? &*fleet_ : nullptr; }
   bool leading() const;
+  const ReplicaRunner& replica() const { return replica_; }
 
  private:
   struct PendingCommand {
--- a/src/programs/control/fleet_members.cc
+++ b/src/programs/control/fleet_members.cc
@@ -12,8 +12,9 @@
 using std::chrono::milliseconds;
 
 // A voter that was silent for this long is replaced if a live instance is
-// available.
-constexpr Duration kReplacementTimeout = milliseconds(2500);
+// available. Longer than a machine takes to restart, since a replacement has to
+// receive the whole state.
+constexpr Duration kReplacementTimeout = std::chrono::seconds(4);
 // Of the periods of digests, one in this many includes the instances that do
 // not serve gateways and targets. Half of the time after which an instance
 // counts as silent.
@@ -235,8 +236,11 @@
   add_view(settings_.process.id, settings_.peers.ToString(),
            settings_.process.zone, true, now);
   for (const auto& [id, peer] : peers_) {
+    // A replica that receives a snapshot sends no digests to a leader that
+    // does not serve, but answers each chunk.
     add_view(id, peer.record.endpoint(), peer.record.zone(),
-             Applies(peer.record), peer.last_contact_at);
+             Applies(peer.record),
+             std::max(peer.last_contact_at, replica_.LastContactAt(id)));
   }
   const size_t replica_count = 2 * settings_.tolerated_losses + 1;
   const std::optional<MemberChange> change =
