--- a/src/programs/control/sample_runner.cc
+++ b/src/programs/control/sample_runner.cc
@@ -5,6 +5,7 @@
 
 #include "limpethatch/connection/http_error.h"
 #include "limpethatch/process/log.h"
+#include "limpethatch/process/utf8.h"
 
 namespace limpethatch {
 namespace {
@@ -302,6 +303,11 @@
           verdict != SampleStreamValidator::Verdict::kContinue) {
         return end_with(verdict);
       }
+      // All samples share the commands that record their events.
+      if (!IsValidUtf8(event->data)) {
+        run->reason = "event_not_utf8";
+        return RunOutcome::kBroken;
+      }
       AppendEvent(run, *event, validator.version());
       received_event = true;
     }
--- a/tests/control/sample_runner_test.cc
+++ b/tests/control/sample_runner_test.cc
@@ -19,12 +19,16 @@
 
 using boost::asio::ip::tcp;
 
-// An engine that answers one request with two events, ends within the third,
-// and keeps the head of the request.
+// An engine that answers one request with `events`, by default two and a part
+// of the third, and keeps the head of the request.
 class BreakingEngine {
  public:
-  explicit BreakingEngine(std::string header = "")
-      : endpoint_(FreeEndpoint()), header_(std::move(header)) {
+  explicit BreakingEngine(
+      std::string header = "",
+      std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda")
+      : endpoint_(FreeEndpoint()),
+        header_(std::move(header)),
+        events_(std::move(events)) {
     acceptor_.open(tcp::v4());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(
@@ -45,17 +49,17 @@
     boost::system::error_code ignored;
     boost::asio::read_until(socket, boost::asio::dynamic_buffer(request_head_),
                             "\r\n\r\n", ignored);
-    const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
     const std::string answer =
         "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: sample\r\n"
         "Server-Stamp: stamp\r\nWeight-Versions: 5\r\n" +
-        header_ + "Content-Length: " + std::to_string(events.size()) +
-        "\r\n\r\n" + events;
+        header_ + "Content-Length: " + std::to_string(events_.size()) +
+        "\r\n\r\n" + events_;
     boost::asio::write(socket, boost::asio::buffer(answer), ignored);
   }
 
   const Endpoint endpoint_;
   const std::string header_;
+  const std::string events_;
   boost::asio::io_context io_;
   tcp::acceptor acceptor_{io_};
   std::string request_head_;
@@ -146,6 +150,22 @@
             std::string::npos);
 }
 
+// One event that was not UTF-8 made the replicas drop the command with the
+// events of all running samples.
+Test(sample_runner,
+     an_event_that_is_not_utf8_ends_its_run_only,
+     .timeout = 30) {
+  BreakingEngine engine("", "id: 1\ndata: a\n\nid: 2\ndata: \xFF\n\n");
+  RunnerFixture fixture;
+  fixture.Run(engine, "i-1", "v1");
+  fixture.runner.Flush();
+  cr_assert(fixture.recorded.size() == 1);
+  wire::SamplesAdvance read;
+  cr_assert(read.ParseFromString(fixture.recorded.front().SerializeAsString()));
+  cr_assert(read.advances(0).events_size() == 1);
+  cr_assert(read.advances(0).events(0) == "a");
+}
+
 // Guards against sending further samples to an engine that leaves.
 Test(sample_runner, an_engine_that_says_it_leaves_is_reported) {
   BreakingEngine staying;
