Close what a stopped gateway leaves open in its test

The end of the process would close it; the fixture kept the gateway and waited for the connection.

The fixture destroys the gateway once it has stopped, and the test checks the same as before: the answer, and that the connection to the target ends.

--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -276,6 +276,12 @@
     cr_assert(!gateway_->Start());
     thread_ = std::thread([this] { gateway_->Run(); });
   }
+  // Waits until the gateway has stopped, and closes what it left open, as the
+  // end of its process does.
+  void WaitUntilStopped() {
+    thread_.join();
+    gateway_.reset();
+  }
   bool Ready() const {
     const std::string answer = Exchange(
         settings.readiness, "GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -911,6 +917,7 @@
   const std::string answer = fixture.Call(
       "POST /slow/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Attempt-Id: a\r\n"
       "Deadline-Ms: 600000\r\nContent-Length: 4\r\n\r\nbody");
+  fixture.WaitUntilStopped();
   stopper.join();
   cr_assert(StatusOf(answer) == "502", "%s", answer.c_str());
   cr_assert(answer.find("process_ends") != std::string::npos);
