Limit the output of samples, each and together

Control held what faulty engines sent: with two of six that sent valid events without an end, the users measured 501 to 628 MB on (the machines have 256 to 270), a text of 16.5 MB listed as completed, and with empty events 24 items that stayed at the bad engines. Each event was valid, the limit of a run was 16 MB, and the sum had none.

A sample's text is limited by the output tokens that it states and by the size of a page; past it the run ends, its text is discarded, and the engine rests for 10 s. All running samples have 64 MB together, past which those above the mean end.

sample_runner_test: more_output_than_a_sample_allows_ends_the_run and empty_events_without_an_end_end_the_run fail with the check taken out.

--- a/src/limpethatch/version/engine_table.cc
+++ b/src/limpethatch/version/engine_table.cc
@@ -42,6 +42,7 @@
     engine.backoff_until = {};
     engine.backoff = {};
     engine.failing_since.reset();
+    engine.faulty_until = {};
   }
   engine.id = record.id();
   engine.address = address;
@@ -115,6 +116,12 @@
   }
 }
 
+void EngineTable::RecordFault(std::string_view id, TimePoint now) {
+  if (EngineState* engine = Find(id)) {
+    engine->faulty_until = now + kFaultPause;
+  }
+}
+
 void EngineTable::RecordSuccess(std::string_view id) {
   if (EngineState* engine = Find(id)) {
     engine->backoff = {};
--- a/src/limpethatch/version/engine_table.h
+++ b/src/limpethatch/version/engine_table.h
@@ -53,7 +53,13 @@
 
   // Whether all that was sent to the engine for at least kMinOutage has failed.
   bool IsFailing(TimePoint now) const;
-  bool Usable(TimePoint now) const { return now >= backoff_until; }
+  // No samples before this, after output beyond a limit. Later events do not
+  // end it.
+  TimePoint faulty_until;
+
+  bool Usable(TimePoint now) const {
+    return now >= backoff_until && now >= faulty_until;
+  }
   // The version that a new sample of the model would run on; 0 if the engine
   // does not take new samples of it.
   uint64_t ServableVersion(std::string_view model, TimePoint now) const;
@@ -67,6 +73,8 @@
   // one up to the maximum.
   static constexpr Duration kInitialBackoff = std::chrono::milliseconds(250);
   static constexpr Duration kMaxBackoff = std::chrono::seconds(4);
+  // Time without new samples after output beyond a limit.
+  static constexpr Duration kFaultPause = std::chrono::seconds(10);
 
   // Applies an announcement. Engines that drain or have left are removed.
   void Announce(const wire::TargetRecord& record);
@@ -86,6 +94,8 @@
                       std::string_view model,
                       uint64_t version);
   void RecordFailure(std::string_view id, TimePoint now);
+  // The engine sent more than a sample may have.
+  void RecordFault(std::string_view id, TimePoint now);
   // A sample made progress on the engine.
   void RecordSuccess(std::string_view id);
   // The engine answered, which does not show that it can run samples.
--- a/src/limpethatch/version/sample_stream_validator.cc
+++ b/src/limpethatch/version/sample_stream_validator.cc
@@ -18,7 +18,9 @@
   return Verdict::kContinue;
 }
 
-Verdict SampleStreamValidator::OnEvent(uint64_t id, uint64_t version) {
+Verdict SampleStreamValidator::OnEvent(uint64_t id,
+                                       uint64_t version,
+                                       size_t bytes) {
   if (version != 0) {
     version_ = version;
   }
@@ -36,7 +38,17 @@
     discard_ = true;
     return Refuse(Verdict::kBroken, "weights_changed");
   }
+  empty_events_ = bytes == 0 ? empty_events_ + 1 : 0;
+  if (sample_.events >= sample_.limit.events ||
+      sample_.bytes + bytes > sample_.limit.bytes ||
+      empty_events_ > kMaxEmptyEvents) {
+    // No part of the text can be trusted.
+    discard_ = true;
+    limit_exceeded_ = true;
+    return Refuse(Verdict::kBroken, "output_limit_exceeded");
+  }
   sample_.versions.insert(version_);
+  sample_.bytes += bytes;
   ++sample_.events;
   return Verdict::kContinue;
 }
--- a/src/limpethatch/version/sample_stream_validator.h
+++ b/src/limpethatch/version/sample_stream_validator.h
@@ -5,6 +5,9 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <utility>
+
+#include "limpethatch/version/output_limit.h"
 
 namespace limpethatch {
 
@@ -23,14 +26,17 @@
     bool single_version = false;    // All events must be of the same version.
     uint32_t events = 0;            // Received so far.
     std::set<uint64_t> versions{};  // Versions that generated them.
+    size_t bytes = 0;               // Of their text.
+    OutputLimit limit = {.events = UINT32_MAX, .bytes = kMaxTextBytes};
   };
 
   explicit SampleStreamValidator(Sample sample) : sample_(std::move(sample)) {}
 
   // Checks the response header; `version` is 0 if it names none.
   Verdict OnHeader(uint64_t version);
-  // Checks an event; `version` is 0 unless the weights changed with it.
-  Verdict OnEvent(uint64_t id, uint64_t version);
+  // Checks an event with `bytes` of text; `version` is 0 unless the weights
+  // changed with it.
+  Verdict OnEvent(uint64_t id, uint64_t version, size_t bytes = 1);
   // Checks the regular end of the stream; `partial` if it came within an event.
   Verdict OnStreamEnd(bool partial);
 
@@ -39,6 +45,8 @@
   // Whether the earlier text of the sample has to be discarded, since it can't
   // be combined with this response.
   bool discard() const { return discard_; }
+  // Whether the engine has exceeded the sample's output limit.
+  bool limit_exceeded() const { return limit_exceeded_; }
   // Reason code of the last kNotRun or kBroken verdict.
   const char* reason() const { return reason_; }
 
@@ -48,6 +56,8 @@
   Sample sample_;
   uint64_t version_ = 0;
   bool discard_ = false;
+  bool limit_exceeded_ = false;
+  uint32_t empty_events_ = 0;  // Consecutive ones up to the latest event.
   const char* reason_ = "";
 };
 
--- a/src/programs/control/fleet_metrics.cc
+++ b/src/programs/control/fleet_metrics.cc
@@ -55,6 +55,11 @@
           static_cast<double>(runs.broken));
   counter("limpethatch_samples_stopped_total", "Runs stopped by the scheduler.",
           static_cast<double>(runs.stopped));
+  counter("limpethatch_sample_limits_exceeded_total",
+          "Runs with more output than allowed.",
+          static_cast<double>(runs.limits_exceeded));
+  gauge("limpethatch_running_text_bytes", "Text of all running samples.",
+        static_cast<double>(sample_runner_.held_bytes()));
   counter("limpethatch_sample_events_total", "Events taken in.",
           static_cast<double>(runs.events));
   counter("limpethatch_weight_orders_accepted_total", "Loads begun.",
--- a/src/programs/control/sample_runner.cc
+++ b/src/programs/control/sample_runner.cc
@@ -22,8 +22,11 @@
 constexpr Duration kRecordPeriod = std::chrono::milliseconds(250);
 // Maximum size of an event.
 constexpr size_t kMaxEventBytes = 256UL * 1024;
-// Maximum size of the stream of one run.
+// Maximum size of the stream of one run: its text and what frames the events.
 constexpr size_t kMaxStreamBytes = 16UL * 1024 * 1024;
+// Maximum text of all running samples: a quarter of the memory of the smallest
+// control machines.
+constexpr size_t kMaxRunningTextBytes = 64UL * 1024 * 1024;
 // Delay before finished samples are recorded; those that end within it share
 // a log entry.
 constexpr Duration kFlushDelay = std::chrono::milliseconds(2);
@@ -72,7 +75,8 @@
       scheduler_(scheduler),
       listener_(std::move(listener)),
       client_(io, HttpClientOptions{}),
-      pacer_(io) {
+      pacer_(io),
+      text_budget_(kMaxRunningTextBytes) {
   timers_.Every(kRecordPeriod, [this](TimePoint) { Flush(); });
 }
 
@@ -84,6 +88,7 @@
   if (added) {
     const SampleText& output = job.samples[start.key.index].output;
     progress.proposed = output.events;
+    progress.text_bytes = output.text.size();
     progress.versions = {output.versions.begin(), output.versions.end()};
     progress.software_version = output.software_version;
   }
@@ -113,7 +118,7 @@
     DiscardOutput(progress);
   }
   progress.software_version = start.software_version;
-  auto run = std::make_shared<Run>();
+  auto run = std::make_shared<Run>(text_budget_);
   run->start = start;
   run->sample = job.submit.samples(static_cast<int>(start.key.index));
   run->host = job.submit.host();
@@ -126,6 +131,7 @@
   run->incarnation = engine->born_ms;
   run->started_at = Clock::now();
   run->events_before = progress.total();
+  run->held.Set(progress.text_bytes);
   runs_[start.key] = run;
   ++counters_.started;
   Log(LogLevel::kInfo, "sample_started",
@@ -266,9 +272,13 @@
   const uint64_t generation = generation_;
   const Progress& output = progress_[run->start.key];
   SampleStreamValidator validator(
-      {run->min_version, run->single_version, output.total(), output.versions});
+      {run->min_version, run->single_version, output.total(), output.versions,
+       output.text_bytes, OutputLimitOf(run->sample)});
   const auto end_with = [&](SampleStreamValidator::Verdict verdict) {
     run->reason = validator.reason();
+    if (validator.limit_exceeded()) {
+      RecordOutputFault(run);
+    }
     if (validator.discard()) {
       DiscardOutput(progress_[run->start.key]);
     }
@@ -299,7 +309,8 @@
     parser.Feed(chunk.value());
     bool received_event = false;
     while (const auto event = parser.Next()) {
-      if (const auto verdict = validator.OnEvent(event->id, event->version);
+      if (const auto verdict =
+              validator.OnEvent(event->id, event->version, event->data.size());
           verdict != SampleStreamValidator::Verdict::kContinue) {
         return end_with(verdict);
       }
@@ -315,6 +326,13 @@
       run->reason = "event_too_large";
       return RunOutcome::kBroken;
     }
+    run->held.Set(output.text_bytes + parser.partial_event_bytes());
+    if (run->held.Exceeds()) {
+      run->reason = "text_budget_exceeded";
+      RecordOutputFault(run);
+      DiscardOutput(progress_[run->start.key]);
+      return RunOutcome::kBroken;
+    }
     if (received_event) {
       scheduler_.RecordEvents(run->start.key, progress_[run->start.key].total(),
                               Clock::now());
@@ -344,9 +362,20 @@
   progress.versions.insert(version);
   progress.new_versions.insert(version);
   progress.events.push_back(event.data);
+  progress.text_bytes += event.data.size();
   ++counters_.events;
 }
 
+void SampleRunner::RecordOutputFault(const RunPtr& run) {
+  ++counters_.limits_exceeded;
+  Log(LogLevel::kWarning, "output_limit_exceeded",
+      {{"sample", run->sample.id()},
+       {"target", run->start.engine},
+       {"text_bytes", progress_[run->start.key].text_bytes},
+       {"held_bytes", held_bytes()}});
+  scheduler_.engine_table().RecordFault(run->start.engine, Clock::now());
+}
+
 void SampleRunner::DiscardOutput(Progress& progress) {
   const uint32_t failures = progress.failures;
   std::string software_version = std::move(progress.software_version);
--- a/src/programs/control/sample_runner.h
+++ b/src/programs/control/sample_runner.h
@@ -13,6 +13,7 @@
 #include "fleet.pb.h"
 #include "limpethatch/connection/http_client.h"
 #include "limpethatch/connection/read_pacer.h"
+#include "limpethatch/process/byte_budget.h"
 #include "limpethatch/process/timer_service.h"
 #include "limpethatch/version/job_ledger.h"
 #include "limpethatch/version/sample_scheduler.h"
@@ -45,8 +46,11 @@
     uint64_t broken = 0;
     uint64_t stopped = 0;
     uint64_t events = 0;
+    uint64_t limits_exceeded = 0;  // Runs with more output than allowed.
   };
   const Counters& counters() const { return counters_; }
+  // Text of all samples that are running, in bytes.
+  size_t held_bytes() const { return text_budget_.bytes(); }
 
  private:
   // The state of a sample that the log does not contain yet.
@@ -56,6 +60,7 @@
     std::set<uint64_t> versions;      // That generated any event.
     std::set<uint64_t> new_versions;  // Not yet proposed.
     std::string software_version;     // Of the engines that generated it.
+    size_t text_bytes = 0;            // Of all events.
     uint32_t failures = 0;
     wire::SampleState state = wire::SAMPLE_OPEN;
     bool discard = false;  // Output recorded so far is to be discarded.
@@ -69,6 +74,8 @@
     }
   };
   struct Run {
+    explicit Run(ByteBudget& budget) : held(budget) {}
+
     SampleStart start;
     wire::JobSample sample;
     std::string host;
@@ -87,6 +94,8 @@
     std::string reason;     // Why the run ended, for the log line.
     TimePoint started_at;
     uint32_t events_before = 0;
+    // Of the text so far and the buffered part of the next event.
+    ByteBudget::Share held;
   };
   using RunPtr = std::shared_ptr<Run>;
 
@@ -101,6 +110,8 @@
   void AppendEvent(const RunPtr& run,
                    const platform::StreamEvent& event,
                    uint64_t version);
+  // The engine sent more output than allowed.
+  void RecordOutputFault(const RunPtr& run);
   RunOutcome HandleRefusal(const RunPtr& run, const platform::SampleHead& head);
   RunOutcome RecordFailure(const RunPtr& run);
   void DiscardOutput(Progress& progress);
@@ -116,6 +127,7 @@
   RunListener listener_;
   HttpClient client_;
   ReadPacer pacer_;
+  ByteBudget text_budget_;
   uint64_t generation_ = 0;  // Increases with each Reset.
   std::map<SampleKey, RunPtr> runs_;
   std::map<SampleKey, Progress> progress_;
--- a/tests/control/sample_runner_test.cc
+++ b/tests/control/sample_runner_test.cc
@@ -66,9 +66,12 @@
   std::thread thread_;
 };
 
+constexpr uint64_t kPromptTokens = 1000;
+
 class RunnerFixture {
  public:
-  RunnerFixture() {
+  // `tokens`: of the prompt and the most output; 0: not stated.
+  explicit RunnerFixture(uint64_t tokens = 0) {
     wire::JobSubmit submit;
     submit.set_job("job");
     submit.set_service("coach");
@@ -77,6 +80,8 @@
     wire::JobSample& sample = *submit.add_samples();
     sample.set_id("sample");
     sample.set_path("/s");
+    sample.set_tokens(tokens);
+    sample.set_prompt_tokens(tokens == 0 ? 0 : kPromptTokens);
     jobs.Apply(submit);
   }
 
@@ -96,7 +101,8 @@
     scheduler.engine_table().Announce(record);
     const uint64_t broken_before = runner.counters().broken;
     runner.Start({{"job", 0}, id, 5, software_version}, *jobs.Find("job"));
-    while (runner.counters().broken == broken_before) {
+    while (runner.counters().broken == broken_before &&
+           runner.counters().finished == 0) {
       io.run_one();
     }
   }
@@ -166,6 +172,41 @@
   cr_assert(read.advances(0).events(0) == "a");
 }
 
+// Events without an end, each of them valid, filled the memory of the leader,
+// and a text of 16 MB was listed as completed.
+Test(sample_runner, more_output_than_a_sample_allows_ends_the_run) {
+  std::string events;
+  for (int id = 1; id <= 5000; ++id) {
+    events += "id: " + std::to_string(id) +
+              "\ndata: " + std::string(1000, 'x') + "\n\n";
+  }
+  BreakingEngine engine("", events);
+  RunnerFixture fixture(kPromptTokens + 100);
+  fixture.Run(engine, "i-1", "v1");
+  fixture.runner.Flush();
+  for (const wire::SamplesAdvance& advances : fixture.recorded) {
+    fixture.jobs.Apply(advances);
+  }
+  const JobSampleRecord& record = fixture.jobs.Find("job")->samples[0];
+  cr_assert(record.state == wire::SAMPLE_OPEN && record.output.text.empty());
+  cr_assert_eq(fixture.runner.counters().limits_exceeded, 1);
+  cr_assert_eq(fixture.runner.held_bytes(), 0);
+  cr_assert(!fixture.scheduler.engine_table().Find("i-1")->Usable(
+      Clock::now() + EngineTable::kFaultPause - std::chrono::seconds(1)));
+}
+
+// Items stayed at an engine that sent events without text.
+Test(sample_runner, empty_events_without_an_end_end_the_run) {
+  std::string events;
+  for (int id = 1; id <= 100; ++id) {
+    events += "id: " + std::to_string(id) + "\ndata: \n\n";
+  }
+  BreakingEngine engine("", events);
+  RunnerFixture fixture(kPromptTokens + 100);
+  fixture.Run(engine, "i-1", "v1");
+  cr_assert_eq(fixture.runner.counters().limits_exceeded, 1);
+}
+
 // Guards against sending further samples to an engine that leaves.
 Test(sample_runner, an_engine_that_says_it_leaves_is_reported) {
   BreakingEngine staying;
