Send the probe of a lost engine elsewhere after it failed

The leader's log shows where it was: started on the crashed engine 0.26, 0.81, 2.8 and 4.8 s after the crash, ended at once each time with "could not connect". The engine had the weights of its recorded text and was preferred whenever its backoff was over. From the second failure on the sample was also paused for 2 s, as if it crashed engines, which is the engine's backoff by then, so that both ended together and no other engine was looked at.

A sample that got no event from an engine does not return there for exclusion_period, nor wait for it, while the service has another engine. A run without a connection is no evidence against its sample.

sample_scheduler_test: the_probe_of_an_unreachable_engine_goes_elsewhere, the_probe_of_a_breaking_engine_goes_elsewhere and an_unreachable_engine_is_no_evidence_against_a_sample failed without the change: one of four samples did not start on the other engine within 10 s.

--- a/src/limpethatch/version/sample_scheduler.cc
+++ b/src/limpethatch/version/sample_scheduler.cc
@@ -303,6 +303,7 @@
       [&](const auto& entry) {
         const EngineState& engine = entry.second;
         return engine.service == service && !engine.IsFailing(now) &&
+               !IsExcluded(candidate.key, engine, now) &&
                CanResume(candidate, engine);
       });
   if (may_resume) {
@@ -336,12 +337,36 @@
   const wire::JobSubmit& submit = candidate.job->submit;
   const uint64_t version = engine.ServableVersion(submit.model(), now);
   const bool fits_version = version != 0 && version >= submit.min_version();
-  const auto retry = retry_states_.find(candidate.key);
-  const bool excluded = retry != retry_states_.end() &&
-                        retry->second.excluded_engine == engine.id &&
-                        now < retry->second.excluded_until;
   return engine.service == submit.service() && engine.Usable(now) &&
-         fits_version && !excluded;
+         fits_version && !IsExcluded(candidate.key, engine, now);
+}
+
+bool SampleScheduler::IsExcluded(const SampleKey& key,
+                                 const EngineState& engine,
+                                 TimePoint now) const {
+  const auto retry = retry_states_.find(key);
+  return retry != retry_states_.end() &&
+         retry->second.excluded_engine == engine.id &&
+         now < retry->second.excluded_until;
+}
+
+void SampleScheduler::ExcludeEngine(const SampleKey& key,
+                                    const Run& run,
+                                    TimePoint now) {
+  const EngineState* engine = engine_table_.Find(run.engine);
+  const bool has_alternative =
+      engine &&
+      std::any_of(engine_table_.engines().begin(),
+                  engine_table_.engines().end(), [&](const auto& entry) {
+                    const EngineState& other = entry.second;
+                    return other.id != engine->id &&
+                           other.service == engine->service;
+                  });
+  if (has_alternative) {
+    RetryState& retry = retry_states_[key];
+    retry.excluded_engine = run.engine;
+    retry.excluded_until = now + options_.exclusion_period;
+  }
 }
 
 EngineState* SampleScheduler::BestEngine(const Candidate& candidate,
@@ -479,13 +504,17 @@
   }
   const Run& run = found->second;
   ReleaseCapacity(run);
-  if (outcome == RunOutcome::kBroken) {
+  if (outcome == RunOutcome::kBroken || outcome == RunOutcome::kUnreachable) {
     engine_table_.RecordFailure(run.engine, now);
     if (!run.has_event) {
-      RetryState& retry = retry_states_[key];
-      if (++retry.breaks_without_event >= kSuspectBreaks) {
-        retry.retry_at = now + options_.suspect_retry_delay;
-      }
+      ExcludeEngine(key, run, now);
+    }
+  }
+  // A sample that the engine did not get can't have crashed it.
+  if (outcome == RunOutcome::kBroken && !run.has_event) {
+    RetryState& retry = retry_states_[key];
+    if (++retry.breaks_without_event >= kSuspectBreaks) {
+      retry.retry_at = now + options_.suspect_retry_delay;
     }
   }
   if (outcome == RunOutcome::kDone) {
--- a/src/limpethatch/version/sample_scheduler.h
+++ b/src/limpethatch/version/sample_scheduler.h
@@ -52,11 +52,12 @@
 };
 
 enum class RunOutcome {
-  kDone,     // Completed or given up, but not listed yet.
-  kNotRun,   // The engine refused the sample without running it.
-  kFailed,   // The engine answered with an error of its own.
-  kBroken,   // The stream ended early.
-  kStopped,  // By a SampleStop.
+  kDone,         // Completed or given up, but not listed yet.
+  kNotRun,       // The engine refused the sample without running it.
+  kFailed,       // The engine answered with an error of its own.
+  kBroken,       // The stream ended early.
+  kUnreachable,  // No connection; the engine did not get the sample.
+  kStopped,      // By a SampleStop.
 };
 
 struct SampleSchedulerOptions {
@@ -72,8 +73,8 @@
   // Number of running samples that an engine may have beyond the least loaded
   // one and still be preferred for a sample whose group's prompt it has cached.
   uint32_t affinity_margin = 2;
-  // Time during which a sample that was moved off an engine does not return
-  // there and is not moved again.
+  // Time during which a sample that was moved off an engine, or got no event
+  // there, does not return there and is not moved again.
   Duration exclusion_period = std::chrono::seconds(3);
   // Time that a sample with recorded text waits for an engine that can resume
   // it, before it begins anew on another one.
@@ -131,8 +132,8 @@
   struct RetryState {
     uint32_t breaks_without_event = 0;
     TimePoint retry_at;  // The sample is not started before.
-    // The engine that the sample was moved off, and until when it must not
-    // return there.
+    // The engine that the sample was moved off or that failed it, and until
+    // when it must not return there.
     std::string excluded_engine;
     TimePoint excluded_until;
   };
@@ -167,6 +168,13 @@
   // Whether the engine takes the sample to its end from the recorded text, or
   // from the first event.
   enum class StartFrom { kRecordedText, kFirstEvent };
+  // Whether the sample must not return to the engine yet.
+  bool IsExcluded(const SampleKey& key,
+                  const EngineState& engine,
+                  TimePoint now) const;
+  // Excludes the engine of a run that ended without an event, if there is
+  // another one.
+  void ExcludeEngine(const SampleKey& key, const Run& run, TimePoint now);
   // The engine that takes the sample at the least cost; null if none can now.
   EngineState* BestEngine(const Candidate& candidate,
                           StartFrom start_from,
--- a/src/programs/control/fleet_metrics.cc
+++ b/src/programs/control/fleet_metrics.cc
@@ -53,6 +53,9 @@
           static_cast<double>(runs.failed));
   counter("limpethatch_samples_broken_total", "Streams that broke off.",
           static_cast<double>(runs.broken));
+  counter("limpethatch_samples_unreachable_total",
+          "Runs that got no connection to the engine.",
+          static_cast<double>(runs.unreachable));
   counter("limpethatch_samples_stopped_total", "Runs stopped by the scheduler.",
           static_cast<double>(runs.stopped));
   counter("limpethatch_sample_limits_exceeded_total",
--- a/src/programs/control/sample_runner.cc
+++ b/src/programs/control/sample_runner.cc
@@ -44,6 +44,8 @@
       return "failed";
     case RunOutcome::kBroken:
       return "broken";
+    case RunOutcome::kUnreachable:
+      return "unreachable";
     case RunOutcome::kStopped:
       return "stopped";
   }
@@ -211,7 +213,7 @@
   if (!outcome.stream) {
     run->error = outcome.error;
     run->reason = outcome.error.message();
-    return RunOutcome::kBroken;
+    return run->sent ? RunOutcome::kBroken : RunOutcome::kUnreachable;
   }
   const platform::SampleHead head = platform::DecodeSampleHead(
       outcome.stream->status(), outcome.stream->headers(), run->sample.id());
@@ -452,6 +454,9 @@
     case RunOutcome::kBroken:
       ++counters_.broken;
       break;
+    case RunOutcome::kUnreachable:
+      ++counters_.unreachable;
+      break;
     case RunOutcome::kStopped:
       ++counters_.stopped;
       break;
--- a/src/programs/control/sample_runner.h
+++ b/src/programs/control/sample_runner.h
@@ -44,6 +44,7 @@
     uint64_t not_run = 0;
     uint64_t failed = 0;
     uint64_t broken = 0;
+    uint64_t unreachable = 0;  // Runs that got no connection to the engine.
     uint64_t stopped = 0;
     uint64_t events = 0;
     uint64_t limits_exceeded = 0;  // Runs with more output than allowed.
--- a/tests/version/sample_scheduler_test.cc
+++ b/tests/version/sample_scheduler_test.cc
@@ -587,6 +587,77 @@
   cr_assert(plan.starts[0].engine == "new" && plan.starts[0].version == 6);
 }
 
+// The time at which each of four samples, whose recorded text only "old" can
+// continue, starts on "new" after "old" has ended its runs. Each later run on
+// "old" ends with `outcome`.
+std::map<uint32_t, Duration> StartsAfterTheLossOf(RunOutcome outcome) {
+  SchedulerFixture fixture(0);
+  fixture.single_version = true;
+  fixture.Announce("new", 4, 6);
+  fixture.Announce("old", 4, 5);
+  fixture.Submit("job", {{10}, {10}, {10}, {10}});
+  for (uint32_t index = 0; index < 4; ++index) {
+    fixture.RecordEvent("job", index, "v1");
+  }
+  for (const SampleStart& start :
+       fixture.scheduler.Plan(fixture.jobs, fixture.now).starts) {
+    cr_assert(start.engine == "old");
+    fixture.scheduler.RecordEvents(start.key, 2, fixture.now);
+  }
+  for (uint32_t index = 0; index < 4; ++index) {
+    fixture.scheduler.EndRun({"job", index}, RunOutcome::kBroken, fixture.now);
+  }
+  std::map<uint32_t, Duration> started;
+  const TimePoint lost_at = fixture.now;
+  while (fixture.now < lost_at + seconds(10)) {
+    fixture.now += milliseconds(20);
+    for (const auto& [index, engine] :
+         fixture.Starts(fixture.scheduler.Plan(fixture.jobs, fixture.now))) {
+      if (engine == "new") {
+        started[index] = fixture.now - lost_at;
+      } else {
+        fixture.scheduler.EndRun({"job", index}, outcome, fixture.now);
+      }
+    }
+  }
+  return started;
+}
+
+// The sample that probed a lost engine went back there at each end of the
+// engine's backoff, while other engines were idle, until its step was over.
+Test(sample_scheduler, the_probe_of_an_unreachable_engine_goes_elsewhere) {
+  const auto started = StartsAfterTheLossOf(RunOutcome::kUnreachable);
+  cr_assert_eq(started.size(), 4);
+  for (const auto& [index, delay] : started) {
+    cr_assert(delay <= SampleSchedulerOptions().max_resume_wait +
+                           EngineTable::kInitialBackoff);
+  }
+}
+
+// As above, for an engine that accepts connections and closes them.
+Test(sample_scheduler, the_probe_of_a_breaking_engine_goes_elsewhere) {
+  const auto started = StartsAfterTheLossOf(RunOutcome::kBroken);
+  cr_assert_eq(started.size(), 4);
+  for (const auto& [index, delay] : started) {
+    cr_assert(delay <= SampleSchedulerOptions().max_resume_wait +
+                           EngineTable::kInitialBackoff);
+  }
+}
+
+// Connections that fail are no sign that the sample crashes engines.
+Test(sample_scheduler, an_unreachable_engine_is_no_evidence_against_a_sample) {
+  SchedulerFixture fixture(3);
+  fixture.Submit("job", {{5}});
+  for (int i = 0; i < 2; ++i) {
+    const SamplePlan plan = fixture.scheduler.Plan(fixture.jobs, fixture.now);
+    cr_assert_eq(plan.starts.size(), 1);
+    fixture.scheduler.EndRun(plan.starts[0].key, RunOutcome::kUnreachable,
+                             fixture.now);
+  }
+  cr_assert_eq(fixture.scheduler.Plan(fixture.jobs, fixture.now).starts.size(),
+               1);
+}
+
 Test(sample_scheduler, a_single_version_sample_resumes_with_its_weights) {
   SchedulerFixture fixture(0);
   fixture.single_version = true;
