Use the fast engines of an uneven service first

Engines have a usual event gap over some hundred events, which a neighbour's noise of 600 ms does not change. Engines 1.25 times slower than a quarter of their service get samples once the slots of the fast ones are filled that far, and load new weights last among those without a usable version. Engines of about equal pace are used as before.

--- a/src/limpethatch/version/engine_table.cc
+++ b/src/limpethatch/version/engine_table.cc
@@ -1,12 +1,28 @@
 #include "limpethatch/version/engine_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace limpethatch {
 namespace {
 
 // Weight of the newest gap in the smoothed event gap.
 constexpr double kGapWeight = 0.2;
+// Weight of the newest gap in the usual event gap.
+constexpr double kUsualGapWeight = 0.02;
+constexpr size_t kFastShareDivisor = 4;
+
+Duration Smoothed(Duration average, Duration newest, double weight) {
+  return average +
+         std::chrono::duration_cast<Duration>((newest - average) * weight);
+}
+
+// The `position` of `gaps`, in ascending order.
+Duration NthGap(std::vector<Duration> gaps, size_t position) {
+  const auto nth = gaps.begin() + static_cast<std::ptrdiff_t>(position);
+  std::nth_element(gaps.begin(), nth, gaps.end());
+  return *nth;
+}
 
 }  // namespace
 
@@ -39,6 +55,8 @@
     // when each of them is reported as ended.
     engine.models.clear();
     engine.event_gap = {};
+    engine.usual_event_gap = {};
+    engine.observed_gaps = 0;
     engine.backoff_until = {};
     engine.backoff = {};
     engine.failing_since.reset();
@@ -141,12 +159,18 @@
   if (!engine) {
     return;
   }
+  engine->observed_gaps = std::min(engine->observed_gaps + 1, kMinObservedGaps);
   if (engine->event_gap == Duration::zero()) {
     engine->event_gap = gap;
+    engine->usual_event_gap = gap;
     return;
   }
-  engine->event_gap += std::chrono::duration_cast<Duration>(
-      (gap - engine->event_gap) * kGapWeight);
+  engine->event_gap = Smoothed(engine->event_gap, gap, kGapWeight);
+  // The plain mean at first, so that the first gap does not dominate.
+  engine->usual_event_gap = Smoothed(engine->usual_event_gap, gap,
+                                     engine->observed_gaps < kMinObservedGaps
+                                         ? 1.0 / engine->observed_gaps
+                                         : kUsualGapWeight);
 }
 
 Duration EngineTable::MedianEventGap(std::string_view service) const {
@@ -156,13 +180,31 @@
       gaps.push_back(engine.event_gap);
     }
   }
-  if (gaps.empty()) {
-    return {};
+  const size_t middle = gaps.size() / 2;
+  return gaps.empty() ? Duration{} : NthGap(std::move(gaps), middle);
+}
+
+Duration EngineTable::FastEventGap(std::string_view service) const {
+  std::vector<Duration> gaps;
+  for (const auto& [id, engine] : engines_) {
+    if (engine.service == service && engine.observed_gaps >= kMinObservedGaps) {
+      gaps.push_back(engine.usual_event_gap);
+    }
+  }
+  const size_t position = gaps.size() / kFastShareDivisor;
+  return gaps.empty() ? Duration{} : NthGap(std::move(gaps), position);
+}
+
+double EngineTable::Slowness(const EngineState& engine,
+                             Duration fast_event_gap) {
+  if (fast_event_gap == Duration::zero() ||
+      engine.observed_gaps < kMinObservedGaps) {
+    return 1.0;
   }
-  const auto middle =
-      gaps.begin() + static_cast<std::ptrdiff_t>(gaps.size() / 2);
-  std::nth_element(gaps.begin(), middle, gaps.end());
-  return *middle;
+  const double slowness =
+      std::chrono::duration<double>(engine.usual_event_gap) /
+      std::chrono::duration<double>(fast_event_gap);
+  return slowness >= kUnevenSlowness ? slowness : 1.0;
 }
 
 }  // namespace limpethatch
--- a/src/limpethatch/version/engine_table.h
+++ b/src/limpethatch/version/engine_table.h
@@ -46,8 +46,11 @@
 
   // Smoothed time between two events of a sample; 0: unknown.
   Duration event_gap{};
-  TimePoint backoff_until;  // No samples before this, after a failure.
-  Duration backoff{};       // Doubles with each consecutive failure.
+  // The same over a longer time, which outlasts loads and noisy neighbours.
+  Duration usual_event_gap{};
+  uint32_t observed_gaps = 0;  // Up to EngineTable::kMinObservedGaps.
+  TimePoint backoff_until;     // No samples before this, after a failure.
+  Duration backoff{};          // Doubles with each consecutive failure.
   // Time of the first failure since the engine last answered.
   std::optional<TimePoint> failing_since;
 
@@ -73,6 +76,10 @@
   // one up to the maximum.
   static constexpr Duration kInitialBackoff = std::chrono::milliseconds(250);
   static constexpr Duration kMaxBackoff = std::chrono::seconds(4);
+  // Slowness from which on an engine counts as slower than others.
+  static constexpr double kUnevenSlowness = 1.25;
+  // Gaps after which an engine's usual pace counts as known.
+  static constexpr uint32_t kMinObservedGaps = 40;
   // Time without new samples after output beyond a limit.
   static constexpr Duration kFaultPause = std::chrono::seconds(10);
 
@@ -104,6 +111,13 @@
   void ObserveEventGap(std::string_view id, Duration gap);
   // Median over all engines of the service; 0 while unknown.
   Duration MedianEventGap(std::string_view service) const;
+  // The usual gap that a quarter of the service's engines keep; 0 while
+  // unknown. Lower than the median, so that it shows that most engines are
+  // slow.
+  Duration FastEventGap(std::string_view service) const;
+  // How many times as long as `fast_event_gap` an event usually takes on the
+  // engine; 1 if it is about the same or not known.
+  static double Slowness(const EngineState& engine, Duration fast_event_gap);
 
  private:
   std::map<std::string, EngineState, std::less<>> engines_;
--- a/src/limpethatch/version/sample_scheduler.cc
+++ b/src/limpethatch/version/sample_scheduler.cc
@@ -45,6 +45,7 @@
                                  const CrashLedger& crashes) {
   SamplePlan plan;
   median_gaps_.clear();
+  fast_gaps_.clear();
   std::erase_if(done_unlisted_, [&](const SampleKey& key) {
     const Job* job = jobs.Find(key.job);
     return !job || job->ended || !NeedsText(job->samples[key.index]);
@@ -74,6 +75,14 @@
   return entry->second;
 }
 
+double SampleScheduler::UsualSlowness(const EngineState& engine) const {
+  const auto [entry, added] = fast_gaps_.try_emplace(engine.service);
+  if (added) {
+    entry->second = engine_table_.FastEventGap(engine.service);
+  }
+  return EngineTable::Slowness(engine, entry->second);
+}
+
 void SampleScheduler::FindOpenEngines(TimePoint now) {
   for (auto& [id, engine] : engine_table_.engines()) {
     if (engine.running < engine.slots && engine.Usable(now)) {
@@ -416,7 +425,10 @@
           std::max(1.0, std::chrono::duration<double>(engine.event_gap) /
                             std::chrono::duration<double>(median_gap));
     }
-    double cost = relative_gap * (engine.running + 1);
+    // A further sample slows an engine by a few per cent only, so the slots of
+    // fast engines are worth filling before those of slow ones.
+    double cost = relative_gap * (engine.running + 1) +
+                  (UsualSlowness(engine) - 1.0) * engine.slots;
     const bool slow = relative_gap >= options_.slow_factor;
     if (!slow && engine.groups.contains(sample.group())) {
       cost -= options_.affinity_margin;
--- a/src/limpethatch/version/sample_scheduler.h
+++ b/src/limpethatch/version/sample_scheduler.h
@@ -162,6 +162,8 @@
   EngineState* ChooseEngine(const Candidate& candidate, TimePoint now);
   // EngineTable::MedianEventGap, computed once for each plan.
   Duration MedianEventGap(const std::string& service) const;
+  // EngineTable::Slowness against the service's fast engines.
+  double UsualSlowness(const EngineState& engine) const;
   // Finds the engines that may take a sample at all, so that the choice for
   // each of many waiting samples does not look at the others.
   void FindOpenEngines(TimePoint now);
@@ -208,6 +210,7 @@
   // By service; valid while a plan is made.
   std::map<std::string, std::vector<EngineState*>, std::less<>> open_engines_;
   mutable std::map<std::string, Duration, std::less<>> median_gaps_;
+  mutable std::map<std::string, Duration, std::less<>> fast_gaps_;
   std::map<std::string, uint32_t, std::less<>> tokens_per_event_;
 };
 
--- a/src/limpethatch/version/weight_rollout.cc
+++ b/src/limpethatch/version/weight_rollout.cc
@@ -28,8 +28,9 @@
 }  // namespace
 
 auto WeightRollout::Rank(const LoadCandidate& candidate) {
-  return std::tuple(candidate.failing, !candidate.stale, candidate.in_zone,
-                    candidate.usable_models, candidate.running);
+  return std::tuple(candidate.failing, !candidate.stale, candidate.slow,
+                    candidate.in_zone, candidate.usable_models,
+                    candidate.running);
 }
 
 void WeightRollout::ExpireLoads(EngineTable& engine_table, TimePoint now) {
@@ -73,7 +74,7 @@
   const auto max_on_newest =
       static_cast<size_t>(std::ceil(static_cast<double>(engines) * share));
   LoadCandidate best;
-  for (const auto& [engine, usable_models] : may_load) {
+  for (const auto& [engine, slow, usable_models] : may_load) {
     const auto found = engine->models.find(model);
     if (found == engine->models.end()) {
       continue;
@@ -94,9 +95,9 @@
         running_count == engine->running_by_model.end() ? 0
                                                         : running_count->second;
     const size_t in_zone = newest_by_zone[engine->zone];
-    const LoadCandidate candidate = {failing,       stale,           in_zone,
-                                     usable_models, running_samples, engine,
-                                     model,         newest,          usable};
+    const LoadCandidate candidate = {
+        failing,         stale,  slow,  in_zone, usable_models,
+        running_samples, engine, model, newest,  usable};
     if (!best.engine || Rank(candidate) < Rank(best)) {
       best = candidate;
     }
@@ -135,6 +136,10 @@
     EngineTable& engine_table,
     TimePoint now) const {
   std::vector<IdleEngine> may_load;
+  std::map<std::string_view, Duration> fast_gaps;
+  for (const auto& [service, count] : loads) {
+    fast_gaps[service] = engine_table.FastEventGap(service);
+  }
   for (auto& [id, engine] : engine_table.engines()) {
     const ServiceLoads& service = loads.find(engine.service)->second;
     const auto max_loading = static_cast<size_t>(
@@ -143,7 +148,10 @@
     if (service.loading < max_loading && !IsLoading(engine, now) &&
         engine.Usable(now) &&
         (retry == retry_at_.end() || now >= retry->second)) {
-      may_load.push_back({&engine, CountUsableModels(engine, newest)});
+      const double slowness =
+          EngineTable::Slowness(engine, fast_gaps[engine.service]);
+      may_load.push_back(
+          {&engine, slowness > 1.0, CountUsableModels(engine, newest)});
     }
   }
   return may_load;
--- a/src/limpethatch/version/weight_rollout.h
+++ b/src/limpethatch/version/weight_rollout.h
@@ -5,7 +5,8 @@
 // the version before its own. Each version is therefore loaded by an equal
 // share of the engines, at most half of them. Engines without a usable version
 // of the model come first, so that two successive versions are on different
-// engines, which serve at the same time. Zones are balanced, so that some
+// engines, which serve at the same time. Of those, slow engines come last, as a
+// step takes as long as its slowest sample. Zones are balanced, so that some
 // engines remain if one zone is lost. Engines with few usable models come
 // before those with many, so that all engines get samples. The model with the
 // fewest usable engines goes first. A load always fetches the newest version,
@@ -75,6 +76,7 @@
   struct LoadCandidate {
     bool failing = false;
     bool stale = false;        // The engine has no usable version of the model.
+    bool slow = false;         // Slower than others of its service.
     size_t in_zone = 0;        // Engines of its zone with the newest version.
     size_t usable_models = 0;  // On its engine.
     uint32_t running = 0;
@@ -98,6 +100,7 @@
   // An engine that may load now.
   struct IdleEngine {
     EngineState* engine = nullptr;
+    bool slow = false;         // Slower than others of its service.
     size_t usable_models = 0;  // That it has or loads a usable version of.
   };
 
--- a/tests/version/sample_scheduler_test.cc
+++ b/tests/version/sample_scheduler_test.cc
@@ -697,6 +697,67 @@
   }
 }
 
+// Generates `count` events with a gap of `gap` on the engine.
+void ObserveGaps(SchedulerFixture* fixture,
+                 const std::string& engine,
+                 Duration gap,
+                 uint32_t count = EngineTable::kMinObservedGaps) {
+  for (uint32_t i = 0; i < count; ++i) {
+    fixture->scheduler.engine_table().ObserveEventGap(engine, gap);
+  }
+}
+
+// Pattern: a third of the engines takes 2.4 times as long for each event, and a
+// step has fewer samples than the others have slots. Samples that began on slow
+// engines had to be moved, or held up their groups.
+Test(sample_scheduler, slow_engines_get_samples_once_the_fast_ones_are_full) {
+  SchedulerFixture fixture(3, 8);
+  ObserveGaps(&fixture, "engine0", milliseconds(33));
+  ObserveGaps(&fixture, "engine1", milliseconds(80));
+  ObserveGaps(&fixture, "engine2", milliseconds(33));
+  fixture.Submit("job", std::vector<std::vector<uint32_t>>(16, {20}));
+  std::map<std::string, int> by_engine;
+  for (const SampleStart& start :
+       fixture.scheduler.Plan(fixture.jobs, fixture.now).starts) {
+    ++by_engine[start.engine];
+  }
+  cr_assert(by_engine["engine0"] == 8 && by_engine["engine2"] == 8);
+  fixture.Submit("more", std::vector<std::vector<uint32_t>>(8, {20}));
+  const SamplePlan plan = fixture.scheduler.Plan(fixture.jobs, fixture.now);
+  cr_assert_eq(plan.starts.size(), 8, "slots were left empty");
+}
+
+// Guards against engines that are taken for slow for good, since they get no
+// samples that could show otherwise: a neighbour's noise of 600 ms.
+Test(sample_scheduler, a_noisy_moment_does_not_make_an_engine_usually_slow) {
+  SchedulerFixture fixture(2, 8);
+  ObserveGaps(&fixture, "engine0", milliseconds(33));
+  ObserveGaps(&fixture, "engine1", milliseconds(33), 200);
+  ObserveGaps(&fixture, "engine1", milliseconds(83), 7);
+  ObserveGaps(&fixture, "engine1", milliseconds(33), 20);
+  fixture.Submit("job", std::vector<std::vector<uint32_t>>(8, {20}));
+  std::map<std::string, int> by_engine;
+  for (const SampleStart& start :
+       fixture.scheduler.Plan(fixture.jobs, fixture.now).starts) {
+    ++by_engine[start.engine];
+  }
+  cr_assert(by_engine["engine0"] >= 3 && by_engine["engine1"] >= 3);
+}
+
+// Most engines being slow must not hide it.
+Test(sample_scheduler, few_fast_engines_are_preferred_to_many_slow_ones) {
+  SchedulerFixture fixture(4, 4);
+  ObserveGaps(&fixture, "engine0", milliseconds(80));
+  ObserveGaps(&fixture, "engine1", milliseconds(80));
+  ObserveGaps(&fixture, "engine2", milliseconds(33));
+  ObserveGaps(&fixture, "engine3", milliseconds(33));
+  fixture.Submit("job", std::vector<std::vector<uint32_t>>(8, {20}));
+  for (const SampleStart& start :
+       fixture.scheduler.Plan(fixture.jobs, fixture.now).starts) {
+    cr_assert(start.engine == "engine2" || start.engine == "engine3");
+  }
+}
+
 // Pattern: steps of all trainers wait behind engines that are all busy. For
 // each waiting sample the plan looked at all engines, and twice for their
 // median. The limit is some ten times what it takes now.
--- a/tests/version/weight_rollout_test.cc
+++ b/tests/version/weight_rollout_test.cc
@@ -202,6 +202,36 @@
   }
 }
 
+// Pattern: a third of the engines is slow, and three models share them all.
+// Engines were chosen whatever their pace, so that a third of each step ran on
+// slow ones.
+Test(weight_rollout, versions_go_to_fast_engines_while_there_are_enough) {
+  constexpr int kEngines = 18;
+  constexpr int kModels = 3;
+  FakeFleet fleet(kEngines, kModels);
+  for (int engine = 0; engine < kEngines; ++engine) {
+    for (uint32_t i = 0; i < EngineTable::kMinObservedGaps; ++i) {
+      fleet.engine_table.ObserveEventGap(
+          "engine" + std::to_string(engine),
+          milliseconds(engine % 3 == 0 ? 80 : 33));
+    }
+  }
+  for (uint64_t version = 2; version <= 6; ++version) {
+    for (int m = 0; m < kModels; ++m) {
+      fleet.newest["model" + std::to_string(m)] = version;
+    }
+    fleet.Run(seconds(7));
+    for (int m = 0; m < kModels; ++m) {
+      int newest = 0;
+      for (int engine = 0; engine < kEngines; ++engine) {
+        newest += fleet.HasNewest(engine, m) ? 1 : 0;
+        cr_assert(engine % 3 != 0 || !fleet.HasNewest(engine, m));
+      }
+      cr_assert_eq(newest, kEngines / kModels);
+    }
+  }
+}
+
 // A lost engine counted as holder of the newest version, so that no other one
 // was ordered to load it and no sample could run.
 Test(weight_rollout, a_lost_holder_of_the_newest_version_is_replaced) {
