Check the keys of organisations and keep jobs apart

Operators want several organisations to share a fleet without seeing each other's batch jobs, and targets to know whose request they serve.

A configuration may have `tenants` with keys. Live requests and calls on batch jobs need a known key, unless a live route is public: 401 if the configuration is the newest, 503 if it may not be. Targets and engines get the name from the system, and never a key or a name that a client stated; a relay checks the key by its own configuration.

ServeLiveCall now gets the name of the request's organisation.

--- a/src/limpethatch/connection/fleet_interface.h
+++ b/src/limpethatch/connection/fleet_interface.h
@@ -71,7 +71,16 @@
       const std::string& name) = 0;
 };
 
-// Implemented by gateways, for callers and for submitters of batch jobs.
+// The outcome of a request to submit or end a batch job.
+struct JobChange {
+  ChangeOutcome outcome = ChangeOutcome::kUncertain;
+  // False if there is no such job for the caller; also if another organisation
+  // has a job of this id.
+  bool known = true;
+};
+
+// Implemented by gateways, for callers and for submitters of batch jobs. Calls
+// on a batch job name the organisation of the caller; empty: none.
 class GatewayInterface {
  public:
   virtual ~GatewayInterface() = default;
@@ -83,20 +92,24 @@
   virtual bool IsConfigurationCurrent() const = 0;
   // Whether a newer configuration may have changed the routes in routes().
   virtual bool IsConfigurationOutdated() const = 0;
-  // Answers a live request on `route`.
-  virtual void ServeLive(HttpExchange& exchange, const wire::Route& route) = 0;
-  virtual ChangeOutcome SubmitJob(Yield yield,
-                                  const wire::JobSubmit& submit) = 0;
-  virtual ChangeOutcome EndJob(Yield yield,
-                               const std::string& job,
-                               bool* known) = 0;
+  // Answers a live request of `organisation`, which is empty if the request
+  // belongs to none, on `route`. Both are of routes().
+  virtual void ServeLive(HttpExchange& exchange,
+                         const wire::Route& route,
+                         const std::string& organisation) = 0;
+  virtual JobChange SubmitJob(Yield yield, const wire::JobSubmit& submit) = 0;
+  virtual JobChange EndJob(Yield yield,
+                           const std::string& organisation,
+                           const std::string& job) = 0;
   // Waits up to `wait` for a result. Returns nullopt if the job's state cannot
   // be determined now.
   virtual std::optional<wire::JobPage> ReadJob(Yield yield,
+                                               const std::string& organisation,
                                                const std::string& job,
                                                uint64_t after,
                                                Duration wait) = 0;
   virtual std::optional<wire::JobBody> ReadBody(Yield yield,
+                                                const std::string& organisation,
                                                 const std::string& job,
                                                 const std::string& sample) = 0;
 };
--- a/src/limpethatch/request/reward_scheduler.cc
+++ b/src/limpethatch/request/reward_scheduler.cc
@@ -129,7 +129,7 @@
   CallTicket ticket(*target, RequestClass::kRollout, now);
   plan->starts.push_back({candidate.key, sample.id(), reward_call,
                           std::move(target), std::move(ticket),
-                          call.max_failures});
+                          call.max_failures, submit.organisation()});
 }
 
 RoutedTargetPtr RewardScheduler::ChooseTarget(const RewardContext& context,
--- a/src/limpethatch/request/reward_scheduler.h
+++ b/src/limpethatch/request/reward_scheduler.h
@@ -35,6 +35,7 @@
   RoutedTargetPtr target;
   CallTicket ticket;
   uint32_t max_failures = 1;  // Failures that end the sample.
+  std::string organisation;   // Of the job; empty: none.
 };
 
 struct RewardPlan {
--- a/src/limpethatch/request/route_table.cc
+++ b/src/limpethatch/request/route_table.cc
@@ -18,7 +18,10 @@
 }  // namespace
 
 RouteTable::RouteTable(wire::FleetConfiguration configuration)
-    : configuration_(std::move(configuration)) {
+    : configuration_(std::move(configuration)), organisations_(configuration_) {
+  // Swaps the field, since clearing it would not release its memory.
+  google::protobuf::RepeatedPtrField<wire::Organisation>().Swap(
+      configuration_.mutable_organisations());
   for (const wire::Route& route : configuration_.routes()) {
     by_host_[HostName(route.host())].push_back(&route);
   }
--- a/src/limpethatch/request/route_table.h
+++ b/src/limpethatch/request/route_table.h
@@ -9,18 +9,24 @@
 #include <vector>
 
 #include "fleet.pb.h"
+#include "limpethatch/request/organisations/organisation_table.h"
 
 namespace limpethatch {
 
 // An immutable index of one configuration.
+//
+// The organisations are only kept in their own table: as messages, 10,000 of
+// them with 3 keys each would take about 4 MB more.
 class RouteTable {
  public:
   explicit RouteTable(wire::FleetConfiguration configuration);
 
   uint64_t version() const { return configuration_.version(); }
+  // Without the organisations.
   const wire::FleetConfiguration& configuration() const {
     return configuration_;
   }
+  const OrganisationTable& organisations() const { return organisations_; }
   // Returns the route of that host with the longest matching path prefix; null
   // if there is none. Host comparison ignores case and port.
   const wire::Route* Match(std::string_view host, std::string_view path) const;
@@ -33,6 +39,7 @@
 
  private:
   wire::FleetConfiguration configuration_;
+  OrganisationTable organisations_;
   // By host; longest prefix first.
   std::map<std::string, std::vector<const wire::Route*>, std::less<>> by_host_;
 };
--- a/src/limpethatch/version/configuration_validator.cc
+++ b/src/limpethatch/version/configuration_validator.cc
@@ -2,7 +2,11 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <set>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace limpethatch {
@@ -29,6 +33,44 @@
   }
 }
 
+// Targets get the name as a header. Spaces at its ends would be lost there, and
+// a line break would begin another header.
+bool IsHeaderValue(std::string_view name) {
+  constexpr unsigned char kSpace = 0x20;
+  constexpr unsigned char kDelete = 0x7f;
+  return !name.empty() && name.front() != ' ' && name.back() != ' ' &&
+         std::none_of(name.begin(), name.end(), [](unsigned char c) {
+           return c < kSpace || c == kDelete;
+         });
+}
+
+void CheckOrganisations(const wire::FleetConfiguration& configuration,
+                        std::vector<std::string>* faults) {
+  std::unordered_set<std::string_view> names;
+  // By digest. The views stay valid, as the configuration does not change.
+  std::unordered_map<std::string_view, const wire::Organisation*> by_key;
+  for (const wire::Organisation& organisation : configuration.organisations()) {
+    if (!IsHeaderValue(organisation.name())) {
+      faults->push_back(
+          "a tenant's name is empty, begins or ends with a space, or has a "
+          "control character");
+    }
+    if (!names.insert(organisation.name()).second) {
+      faults->push_back(
+          fmt::format("two tenants are named \"{}\"", organisation.name()));
+    }
+    for (const std::string& digest : organisation.key_digests()) {
+      const wire::Organisation* owner =
+          by_key.emplace(digest, &organisation).first->second;
+      if (owner != &organisation) {
+        faults->push_back(
+            fmt::format("tenants \"{}\" and \"{}\" have the same key",
+                        owner->name(), organisation.name()));
+      }
+    }
+  }
+}
+
 }  // namespace
 
 std::vector<std::string> ValidateConfiguration(
@@ -50,6 +92,7 @@
           fmt::format("the time-out of route \"{}\" is 0", route.name()));
     }
   }
+  CheckOrganisations(configuration, &faults);
   return faults;
 }
 
--- a/src/limpethatch/version/fleet_ledger.cc
+++ b/src/limpethatch/version/fleet_ledger.cc
@@ -64,18 +64,27 @@
 }
 
 wire::JobOutcome FleetLedger::Apply(const wire::JobSubmit& submit) {
-  if (log_format_ >= LogFormat::kScoredSamples) {
+  if (log_format_ >= LogFormat::kOrganisations) {
     return jobs_.Apply(submit);
   }
-  wire::JobSubmit without_reward_calls = submit;
-  RemoveRewardCalls(&without_reward_calls);
-  return jobs_.Apply(without_reward_calls);
+  // Replicas of earlier builds do not know organisations.
+  wire::JobSubmit supported = submit;
+  supported.clear_organisation();
+  if (log_format_ < LogFormat::kScoredSamples) {
+    RemoveRewardCalls(&supported);
+  }
+  return jobs_.Apply(supported);
 }
 
 wire::JobOutcome FleetLedger::Apply(const wire::JobEnd& end) {
-  if (log_format_ >= LogFormat::kEndsOfUnknownJobs || jobs_.Find(end.job())) {
+  if (log_format_ >= LogFormat::kOrganisations) {
     return jobs_.Apply(end);
   }
+  if (log_format_ >= LogFormat::kEndsOfUnknownJobs || jobs_.Find(end.job())) {
+    wire::JobEnd supported = end;
+    supported.clear_organisation();
+    return jobs_.Apply(supported);
+  }
   wire::JobOutcome outcome;
   outcome.set_verdict(wire::JobOutcome::UNKNOWN);
   return outcome;
--- a/src/limpethatch/version/job_ledger.cc
+++ b/src/limpethatch/version/job_ledger.cc
@@ -130,8 +130,17 @@
 
 wire::JobOutcome JobLedger::Apply(const wire::JobSubmit& submit) {
   if (const Job* known = Find(submit.job())) {
-    return MakeOutcome(known->never_submitted ? wire::JobOutcome::ENDED
-                                              : wire::JobOutcome::ACCEPTED);
+    if (Owns(submit.organisation(), submit.job())) {
+      return MakeOutcome(known->never_submitted ? wire::JobOutcome::ENDED
+                                                : wire::JobOutcome::ACCEPTED);
+    }
+    if (!known->never_submitted) {
+      return MakeOutcome(wire::JobOutcome::UNKNOWN);
+    }
+    // The other organisation's submission will be refused, as the id is taken.
+    wire::JobForget forget;
+    forget.set_job(submit.job());
+    Apply(forget);
   }
   Job& job = jobs_[submit.job()];
   job.submit = submit;
@@ -149,9 +158,9 @@
                           uint32_t index,
                           Decompressed* deserialised) {
   const std::string& id = job.submit.samples(static_cast<int>(index)).id();
-  const auto found = latest_by_sample_.find(id);
-  if (found == latest_by_sample_.end() ||
-      found->second.job == job.submit.job()) {
+  const LatestSamples& latest = latest_by_sample_[job.submit.organisation()];
+  const auto found = latest.find(id);
+  if (found == latest.end() || found->second.job == job.submit.job()) {
     return;
   }
   const Job* earlier = Find(found->second.job);
@@ -197,9 +206,10 @@
 }
 
 void JobLedger::IndexSamples(const wire::JobSubmit& submit) {
+  LatestSamples& latest = latest_by_sample_[submit.organisation()];
   uint32_t index = 0;
   for (const wire::JobSample& sample : submit.samples()) {
-    latest_by_sample_[sample.id()] = {submit.job(), index++};
+    latest[sample.id()] = {submit.job(), index++};
   }
 }
 
@@ -216,8 +226,11 @@
   Job& job = found->second;
   if (added) {
     job.submit.set_job(end.job());
+    job.submit.set_organisation(end.organisation());
     job.never_submitted = true;
     order_.push_back(end.job());
+  } else if (!Owns(end.organisation(), end.job())) {
+    return MakeOutcome(wire::JobOutcome::UNKNOWN);
   }
   if (!job.ended) {
     job.ended = true;
@@ -238,13 +251,16 @@
   }
   const Job job = found->second.serialised ? Deserialise(found->second)
                                            : std::move(found->second);
+  LatestSamples& latest = latest_by_sample_[job.submit.organisation()];
   for (const wire::JobSample& sample : job.submit.samples()) {
-    const auto latest = latest_by_sample_.find(sample.id());
-    if (latest != latest_by_sample_.end() &&
-        latest->second.job == forget.job()) {
-      latest_by_sample_.erase(latest);
+    const auto known = latest.find(sample.id());
+    if (known != latest.end() && known->second.job == forget.job()) {
+      latest.erase(known);
     }
   }
+  if (latest.empty()) {
+    latest_by_sample_.erase(job.submit.organisation());
+  }
   std::erase_if(unscored_,
                 [&](const SampleKey& key) { return key.job == forget.job(); });
   std::erase_if(read_jobs_,
@@ -340,6 +356,23 @@
   return found == jobs_.end() ? nullptr : &found->second;
 }
 
+bool JobLedger::Owns(std::string_view organisation, std::string_view id) const {
+  const Job* job = Find(id);
+  return job && job->submit.organisation() == organisation;
+}
+
+wire::JobPage JobLedger::Page(const wire::JobQuery& query) const {
+  return Owns(query.organisation(), query.job())
+             ? Page(query.job(), query.after(), query.accepts_packed_text())
+             : wire::JobPage();
+}
+
+wire::JobBody JobLedger::Body(const wire::JobBodyQuery& query) const {
+  return Owns(query.organisation(), query.job())
+             ? Body(query.job(), query.sample())
+             : wire::JobBody();
+}
+
 wire::JobPage JobLedger::Page(std::string_view id,
                               uint64_t after,
                               bool packed_texts) const {
--- a/src/limpethatch/version/job_ledger.h
+++ b/src/limpethatch/version/job_ledger.h
@@ -10,6 +10,10 @@
 // The end of a job that is not known is kept like an ended job, since its
 // submission may still be on its way.
 //
+// A job belongs to one organisation, or to none. To others it is unknown: they
+// can't read or end it, and their samples don't resume from its texts. The kept
+// end of one organisation doesn't prevent the submission of another.
+//
 // A sample with a reward call is listed as completed once its text is recorded
 // whole and, later, its score. Until then it is open and awaits its score.
 #ifndef LIMPETHATCH_VERSION_JOB_LEDGER_H_
@@ -110,6 +114,10 @@
   // The samples whose text is whole and whose score is not recorded.
   const std::set<SampleKey>& unscored() const { return unscored_; }
 
+  // As below, but unknown if the job is of another organisation than the query.
+  wire::JobPage Page(const wire::JobQuery& query) const;
+  wire::JobBody Body(const wire::JobBodyQuery& query) const;
+
   // Results from position `after` on, as many as fit into one page. Packed
   // texts are as recorded; see version/job_page.h.
   wire::JobPage Page(std::string_view job,
@@ -135,7 +143,10 @@
   // Ended jobs that were deserialised for reading, by id.
   using Decompressed = std::map<std::string, Job, std::less<>>;
 
-  // Copies the text that an earlier job recorded under the same sample id.
+  // Whether the job is retained and belongs to the organisation.
+  bool Owns(std::string_view organisation, std::string_view job) const;
+  // Copies the text that an earlier job of the same organisation recorded under
+  // the same sample id.
   void CarryOver(Job& job, uint32_t index, Decompressed* deserialised);
   // The ended job, deserialised. Valid until the next call or change.
   const Job& ReadEnded(std::string_view id, const Job& job) const;
@@ -152,8 +163,9 @@
 
   std::map<std::string, Job, std::less<>> jobs_;
   std::deque<std::string> order_;
-  std::map<std::string, SampleKey, std::less<>>
-      latest_by_sample_;  // By sample id.
+  using LatestSamples = std::map<std::string, SampleKey, std::less<>>;
+  // By organisation and sample id.
+  std::map<std::string, LatestSamples, std::less<>> latest_by_sample_;
   std::set<SampleKey> unscored_;
   // Most recently read first. Not part of the replicated state.
   mutable std::list<std::pair<std::string, Job>> read_jobs_;
--- a/src/programs/control/fleet_leader.cc
+++ b/src/programs/control/fleet_leader.cc
@@ -136,7 +136,8 @@
     planned_starts_.pop_front();
     const Job* job = ledger().jobs().Find(start.key.job);
     if (job && !job->ended) {
-      sample_runner_.Start(start, *job);
+      sample_runner_.Start(start, *job,
+                           ledger().configuration().keys_required());
     } else {
       scheduler_.EndRun(start.key, RunOutcome::kStopped, now);
     }
--- a/src/programs/control/fleet_rewards.cc
+++ b/src/programs/control/fleet_rewards.cc
@@ -10,12 +10,30 @@
 #include "programs/control/fleet_service.h"
 
 namespace limpethatch {
+namespace {
+
+// The oldest format in which a command that submits or ends a batch job keeps
+// all its fields.
+LogFormat NeededLogFormat(const wire::Command& command) {
+  const wire::JobSubmit& submit = command.job_submit();
+  if (!submit.organisation().empty() ||
+      !command.job_end().organisation().empty()) {
+    return LogFormat::kOrganisations;
+  }
+  const bool is_scored = std::any_of(
+      submit.samples().begin(), submit.samples().end(),
+      [](const wire::JobSample& sample) { return sample.has_reward_call(); });
+  return is_scored ? LogFormat::kScoredSamples : LogFormat::kBase;
+}
+
+}  // namespace
 
 void FleetService::UpdateRewardTargets() {
   const wire::FleetConfiguration& configuration = ledger().configuration();
   if (!reward_routes_ || reward_routes_->version() != configuration.version()) {
     wire::FleetConfiguration without_document = configuration;
     without_document.clear_document();
+    without_document.clear_organisations();  // Reward calls carry no key.
     reward_routes_.emplace(std::move(without_document));
     reward_targets_outdated_ = true;
   }
@@ -100,16 +118,20 @@
 }
 
 bool FleetService::RefuseUnsupportedJob(const wire::ControlRequest& request) {
-  const wire::JobSubmit& submit = request.command().job_submit();
-  const bool is_scored = std::any_of(
-      submit.samples().begin(), submit.samples().end(),
-      [](const wire::JobSample& sample) { return sample.has_reward_call(); });
-  if (!is_scored || !IsActiveLeader(Clock::now()) ||
-      ledger().log_format() >= LogFormat::kScoredSamples) {
+  const wire::Command& command = request.command();
+  const bool is_leader =
+      replica_.consensus() && replica_.consensus()->leading();
+  if (!is_leader || ledger().log_format() >= NeededLogFormat(command)) {
     return false;
   }
+  if (!IsActiveLeader(Clock::now())) {
+    // The format may have been raised by an entry that is not applied yet. The
+    // sender repeats its request.
+    return true;
+  }
   Log(LogLevel::kWarning, "job_refused",
-      {{"job", submit.job()},
+      {{"job", command.has_job_end() ? command.job_end().job()
+                                     : command.job_submit().job()},
        {"reason", "a member of the group runs an earlier release"},
        {"log_format", static_cast<uint32_t>(ledger().log_format())}});
   wire::ControlReply reply;
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -263,6 +263,9 @@
   if (request.command().has_job_submit()) {
     return RefuseChangedRoute(request) || RefuseUnsupportedJob(request);
   }
+  if (request.command().has_job_end()) {
+    return RefuseUnsupportedJob(request);
+  }
   if (!request.has_configuration() && !request.has_job() &&
       !request.has_job_body() && !request.has_target_rate() &&
       !request.has_target_permit() && !request.has_stream_begun() &&
@@ -343,9 +346,7 @@
     SendReply(request, std::move(reply));
     return;
   }
-  wire::JobPage page =
-      ledger().jobs().Page(request.job().job(), request.job().after(),
-                           request.job().accepts_packed_text());
+  wire::JobPage page = ledger().jobs().Page(request.job());
   const bool should_wait = may_wait && page.known() && page.results().empty() &&
                            request.job().after() < page.total() &&
                            request.job().wait_ms() > 0;
@@ -361,8 +362,7 @@
 void FleetService::AnswerJobBodyQuery(const wire::ControlRequest& request) {
   wire::ControlReply reply;
   if (IsActiveLeader(Clock::now())) {
-    *reply.mutable_job_body() = ledger().jobs().Body(
-        request.job_body().job(), request.job_body().sample());
+    *reply.mutable_job_body() = ledger().jobs().Body(request.job_body());
   } else {
     reply.set_outcome(wire::ControlReply::UNAVAILABLE);
   }
@@ -424,7 +424,8 @@
   const TimePoint received_at = Clock::now();
   Log(LogLevel::kInfo, "configuration_received",
       {{"version", configuration.version()},
-       {"routes", configuration.routes_size()}});
+       {"routes", configuration.routes_size()},
+       {"organisations", configuration.organisations_size()}});
   wire::Command command;
   *command.mutable_configuration_put()->mutable_configuration() = configuration;
   const ChangeOutcome outcome = SubmitCommand(yield, std::move(command));
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -63,6 +63,10 @@
   const SampleRunner::Counters& run_counters() const {
     return sample_runner_.counters();
   }
+  // Of the configuration in force here; 0: none is.
+  uint64_t configuration_version() const {
+    return ledger().configuration().version();
+  }
   // Adds the control instances that the settings name.
   void AddSeeds(const std::vector<Endpoint>& seeds);
 
@@ -226,8 +230,9 @@
   // Answers the submission of a batch job whose gateway used a route that is
   // not in force any more. Returns false for any other.
   bool RefuseChangedRoute(const wire::ControlRequest& request);
-  // Answers the submission of a batch job with reward calls while not all
-  // members apply them. Returns false for any other.
+  // Answers the submission of a batch job with reward calls, and that or the
+  // end of one of an organisation, while not all members apply them. Returns
+  // false for any other.
   bool RefuseUnsupportedJob(const wire::ControlRequest& request);
   void AnswerJobQuery(const wire::ControlRequest& request, bool may_wait);
   void AnswerJobBodyQuery(const wire::ControlRequest& request);
--- a/src/programs/control/reward_runner.cc
+++ b/src/programs/control/reward_runner.cc
@@ -122,7 +122,10 @@
   const HttpRequest request = platform::EncodeRewardCall(call.start.call);
   const HttpStreamOutcome opened = client_.Open(
       yield, target.address,
-      platform::MakeTargetRequest(request, target.id, kCallTimeout), options);
+      platform::MakeTargetRequest(
+          request, target.id, kCallTimeout,
+          {.keys_required = true, .name = call.start.organisation}),
+      options);
   if (generation != generation_) {
     return RewardOutcome::kBroken;
   }
--- a/src/programs/control/sample_runner.cc
+++ b/src/programs/control/sample_runner.cc
@@ -97,7 +97,9 @@
   return progress;
 }
 
-void SampleRunner::Start(const SampleStart& start, const Job& job) {
+void SampleRunner::Start(const SampleStart& start,
+                         const Job& job,
+                         bool keys_required) {
   const EngineState* engine = scheduler_.engine_table().Find(start.engine);
   if (!engine) {
     scheduler_.EndRun(start.key, RunOutcome::kNotRun, Clock::now());
@@ -124,6 +126,10 @@
   run->start = start;
   run->sample = job.submit.samples(static_cast<int>(start.key.index));
   run->host = job.submit.host();
+  run->organisation = job.submit.organisation();
+  // The engine is told of the job's organisation even if none is configured any
+  // more.
+  run->keys_required = keys_required || !run->organisation.empty();
   run->model = job.submit.model();
   run->min_version = job.submit.min_version();
   run->single_version = job.submit.single_version();
@@ -203,7 +209,8 @@
   options.cancel = run->cancel;
   const HttpRequest request = platform::EncodeSampleRun(
       run->sample, run->host, run->start.engine, run->start.version,
-      progress_[run->start.key].total(), kRunTimeout);
+      progress_[run->start.key].total(), kRunTimeout,
+      {run->keys_required, run->organisation});
   HttpStreamOutcome outcome =
       client_.Open(yield, run->address, request, options);
   if (generation != generation_) {
--- a/src/programs/control/sample_runner.h
+++ b/src/programs/control/sample_runner.h
@@ -30,7 +30,9 @@
                SampleScheduler& scheduler,
                RunListener listener);
 
-  void Start(const SampleStart& start, const Job& job);
+  // With `keys_required`, headers of the sample that name an organisation are
+  // not sent.
+  void Start(const SampleStart& start, const Job& job, bool keys_required);
   void Stop(const SampleStop& stop);
   // Cancels all runs and discards unrecorded output.
   void Reset();
@@ -80,6 +82,8 @@
     SampleStart start;
     wire::JobSample sample;
     std::string host;
+    std::string organisation;  // Empty: none.
+    bool keys_required = false;
     std::string model;
     uint64_t min_version = 0;
     bool single_version = false;
--- a/src/programs/gateway/fleet_subscriber.cc
+++ b/src/programs/gateway/fleet_subscriber.cc
@@ -146,7 +146,7 @@
     known.tried = false;
   }
   if (!routes_ && unconfirmed_) {
-    PutInForce(unconfirmed_->news, unconfirmed_->configuration);
+    PutInForce(unconfirmed_->news, std::move(unconfirmed_->configuration));
   }
   // The next round begins with the next periodic check and not at once, as all
   // control instances may be without a quorum.
@@ -180,10 +180,9 @@
   // A newer configuration is accepted from any control instance, as versions
   // only increase. The first one must be recent, though.
   const TimePoint now = Clock::now();
-  if (const auto newer =
-          NewerConfiguration(news, routes_ ? routes_->version() : 0)) {
+  if (auto newer = NewerConfiguration(news, routes_ ? routes_->version() : 0)) {
     if (routes_ || news.quorum_contact()) {
-      PutInForce(news, *newer);
+      PutInForce(news, std::move(*newer));
     } else {
       OfferUnconfirmed(news, *newer);
     }
@@ -254,10 +253,9 @@
   }
 }
 
-void FleetSubscriber::PutInForce(
-    const wire::FleetNews& news,
-    const wire::FleetConfiguration& configuration) {
-  routes_ = std::make_shared<RouteTable>(configuration);
+void FleetSubscriber::PutInForce(const wire::FleetNews& news,
+                                 wire::FleetConfiguration configuration) {
+  routes_ = std::make_shared<RouteTable>(std::move(configuration));
   freshness_.OnInForce(routes_->version());
   Log(LogLevel::kInfo, "configuration_in_force",
       {{"version", routes_->version()},
--- a/src/programs/gateway/fleet_subscriber.h
+++ b/src/programs/gateway/fleet_subscriber.h
@@ -95,7 +95,7 @@
   void OfferUnconfirmed(const wire::FleetNews& news,
                         const wire::FleetConfiguration& configuration);
   void PutInForce(const wire::FleetNews& news,
-                  const wire::FleetConfiguration& configuration);
+                  wire::FleetConfiguration configuration);
   void ReportFreshness(const wire::FleetNews& news, TimePoint now);
   void ApplyTargets(const wire::FleetNews& news);
   // As MarkLeaving, without a new target table.
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -8,6 +8,7 @@
 #include "limpethatch/connection/relay_result.h"
 #include "limpethatch/process/log.h"
 #include "limpethatch/version/job_page.h"
+#include "platform/caller_check.h"
 #include "platform/gateway_api.h"
 
 namespace limpethatch {
@@ -228,10 +229,15 @@
              kQuorumContactTimeout;
 }
 
-void Gateway::ServeLive(HttpExchange& exchange, const wire::Route& route) {
-  // Keeps `route` valid during the call, even if the configuration changes.
+void Gateway::ServeLive(HttpExchange& exchange,
+                        const wire::Route& route,
+                        const std::string& organisation) {
+  // Keeps the arguments valid during the call, even if the configuration
+  // changes.
   const RouteTablePtr table = fleet_subscriber_.routes();
-  ServeLiveCall(live_call_context_, exchange, route, LiveCallOrigin::kCaller);
+  ServeLiveCall(live_call_context_, exchange, route, organisation,
+                table->organisations().keys_required(),
+                LiveCallOrigin::kCaller);
 }
 
 wire::RelayGateway Gateway::MakeRelayOffer() const {
@@ -252,7 +258,11 @@
   const HttpRequest& request = exchange.request();
   const wire::Route* route =
       table ? table->Match(request.headers.Get("Host"), request.path) : nullptr;
-  if (!route || route->kind() == wire::ROUTE_JOBS ||
+  // The other gateway's configuration may be older than this one's.
+  const platform::CallerCheck caller =
+      route ? platform::CheckCaller(table->organisations(), request, *route)
+            : platform::CallerCheck();
+  if (!route || route->kind() == wire::ROUTE_JOBS || !caller.permitted ||
       IsConfigurationOutdated() ||
       relay_server_.active_requests() > kMaxCallsForGateways) {
     HttpResponse refusal;
@@ -261,10 +271,12 @@
     exchange.Respond(refusal);
     return;
   }
-  ServeLiveCall(live_call_context_, exchange, *route, LiveCallOrigin::kGateway);
+  ServeLiveCall(live_call_context_, exchange, *route, caller.OrganisationName(),
+                table->organisations().keys_required(),
+                LiveCallOrigin::kGateway);
 }
 
-ChangeOutcome Gateway::SubmitJob(Yield yield, const wire::JobSubmit& submit) {
+JobChange Gateway::SubmitJob(Yield yield, const wire::JobSubmit& submit) {
   metrics_.CountJobCall("submit");
   wire::ControlRequest request;
   *request.mutable_command()->mutable_job_submit() = submit;
@@ -273,7 +285,8 @@
   const wire::JobOutcome::Verdict verdict =
       answer.reply.result().job().verdict();
   const bool refused = verdict == wire::JobOutcome::ROUTE_CHANGED ||
-                       verdict == wire::JobOutcome::ENDED;
+                       verdict == wire::JobOutcome::ENDED ||
+                       verdict == wire::JobOutcome::UNKNOWN;
   const ChangeOutcome outcome =
       refused ? ChangeOutcome::kNotDone : ToChangeOutcome(answer.certainty);
   Log(LogLevel::kInfo, "job_submitted",
@@ -286,31 +299,36 @@
        {"outcome", outcome == ChangeOutcome::kDone      ? "accepted"
                    : outcome == ChangeOutcome::kNotDone ? "not_done"
                                                         : "uncertain"}});
-  return outcome;
+  return {outcome, verdict != wire::JobOutcome::UNKNOWN};
 }
 
-ChangeOutcome Gateway::EndJob(Yield yield,
-                              const std::string& job,
-                              bool* known) {
+JobChange Gateway::EndJob(Yield yield,
+                          const std::string& organisation,
+                          const std::string& job) {
   metrics_.CountJobCall("end");
   wire::ControlRequest request;
-  request.mutable_command()->mutable_job_end()->set_job(job);
+  wire::JobEnd& end = *request.mutable_command()->mutable_job_end();
+  end.set_job(job);
+  end.set_organisation(organisation);
   const ControlClient::Answer answer = control_client_.SendRequest(
       yield, std::move(request), Clock::now() + kJobCallTimeout);
-  *known = answer.reply.result().job().verdict() != wire::JobOutcome::UNKNOWN;
+  const bool known =
+      answer.reply.result().job().verdict() != wire::JobOutcome::UNKNOWN;
   Log(LogLevel::kInfo, "job_ended",
       {{"job", job},
        {"done", answer.certainty == ControlCertainty::kDone},
-       {"known", *known}});
-  return ToChangeOutcome(answer.certainty);
+       {"known", known}});
+  return {ToChangeOutcome(answer.certainty), known};
 }
 
 std::optional<wire::JobPage> Gateway::ReadJob(Yield yield,
+                                              const std::string& organisation,
                                               const std::string& job,
                                               uint64_t after,
                                               Duration wait) {
   metrics_.CountJobCall("read");
   wire::ControlRequest request;
+  request.mutable_job()->set_organisation(organisation);
   request.mutable_job()->set_job(job);
   request.mutable_job()->set_after(after);
   request.mutable_job()->set_accepts_packed_text(true);
@@ -329,10 +347,12 @@
 }
 
 std::optional<wire::JobBody> Gateway::ReadBody(Yield yield,
+                                               const std::string& organisation,
                                                const std::string& job,
                                                const std::string& sample) {
   metrics_.CountJobCall("body");
   wire::ControlRequest request;
+  request.mutable_job_body()->set_organisation(organisation);
   request.mutable_job_body()->set_job(job);
   request.mutable_job_body()->set_sample(sample);
   ControlClient::Answer answer = control_client_.SendRequest(
--- a/src/programs/gateway/gateway.h
+++ b/src/programs/gateway/gateway.h
@@ -47,16 +47,20 @@
   bool IsConfigurationOutdated() const override {
     return fleet_subscriber_.configuration_freshness().IsOutdated(Clock::now());
   }
-  void ServeLive(HttpExchange& exchange, const wire::Route& route) override;
-  ChangeOutcome SubmitJob(Yield yield, const wire::JobSubmit& submit) override;
-  ChangeOutcome EndJob(Yield yield,
-                       const std::string& job,
-                       bool* known) override;
+  void ServeLive(HttpExchange& exchange,
+                 const wire::Route& route,
+                 const std::string& organisation) override;
+  JobChange SubmitJob(Yield yield, const wire::JobSubmit& submit) override;
+  JobChange EndJob(Yield yield,
+                   const std::string& organisation,
+                   const std::string& job) override;
   std::optional<wire::JobPage> ReadJob(Yield yield,
+                                       const std::string& organisation,
                                        const std::string& job,
                                        uint64_t after,
                                        Duration wait) override;
   std::optional<wire::JobBody> ReadBody(Yield yield,
+                                        const std::string& organisation,
                                         const std::string& job,
                                         const std::string& sample) override;
 
--- a/src/programs/gateway/live_call.cc
+++ b/src/programs/gateway/live_call.cc
@@ -43,10 +43,14 @@
   LiveCall(LiveCallContext& context,
            HttpExchange& exchange,
            const wire::Route& route,
+           const std::string& organisation,
+           bool keys_required,
            LiveCallOrigin origin)
       : context_(context),
         exchange_(exchange),
         route_(route),
+        organisation_(organisation),
+        keys_required_(keys_required),
         origin_(origin),
         caller_headers_(platform::DecodeCallerHeaders(exchange.request())),
         started_at_(Clock::now()),
@@ -222,11 +226,11 @@
 
   void StartAttempt(const RoutedTarget& target, TimePoint now) {
     context_.metrics.CountTargetCall();
-    RunTargetAttempt(
-        context_, state_, target,
-        platform::MakeTargetRequest(exchange_.request(), target.target.id,
-                                    deadline_ - now),
-        BeginAttempt(target.target.id, now));
+    RunTargetAttempt(context_, state_, target,
+                     platform::MakeTargetRequest(
+                         exchange_.request(), target.target.id, deadline_ - now,
+                         {keys_required_, organisation_}),
+                     BeginAttempt(target.target.id, now));
   }
 
   void StartRelayedAttempt(const Endpoint& relay, TimePoint now) {
@@ -336,6 +340,8 @@
   LiveCallContext& context_;
   HttpExchange& exchange_;
   const wire::Route& route_;
+  const std::string& organisation_;  // Empty: none.
+  const bool keys_required_;
   const LiveCallOrigin origin_;
   const platform::CallerHeaders caller_headers_;
   const TimePoint started_at_;
@@ -361,8 +367,11 @@
 void ServeLiveCall(LiveCallContext& context,
                    HttpExchange& exchange,
                    const wire::Route& route,
+                   const std::string& organisation,
+                   bool keys_required,
                    LiveCallOrigin origin) {
-  LiveCall(context, exchange, route, origin).Serve();
+  LiveCall(context, exchange, route, organisation, keys_required, origin)
+      .Serve();
 }
 
 }  // namespace limpethatch
--- a/src/programs/gateway/live_call.h
+++ b/src/programs/gateway/live_call.h
@@ -4,6 +4,8 @@
 #ifndef LIMPETHATCH_PROGRAMS_GATEWAY_LIVE_CALL_H_
 #define LIMPETHATCH_PROGRAMS_GATEWAY_LIVE_CALL_H_
 
+#include <string>
+
 #include "fleet.pb.h"
 #include "limpethatch/connection/http_server.h"
 #include "programs/gateway/live_call_context.h"
@@ -18,12 +20,16 @@
   kGateway
 };
 
-// Answers the request of `exchange`, which matched `route`. Returns when the
-// answer is sent or the caller has disconnected; the arguments must stay valid
-// until then.
+// Answers the request of `exchange`, which matched `route` and belongs to
+// `organisation`; empty if it belongs to none. With `keys_required`, targets
+// are told its name instead of what the client sent. Returns when the answer is
+// sent or the caller has disconnected; the arguments must stay valid until
+// then.
 void ServeLiveCall(LiveCallContext& context,
                    HttpExchange& exchange,
                    const wire::Route& route,
+                   const std::string& organisation,
+                   bool keys_required,
                    LiveCallOrigin origin);
 
 }  // namespace limpethatch
--- a/tests/control/fleet_fixture.h
+++ b/tests/control/fleet_fixture.h
@@ -25,6 +25,7 @@
 
 #include "connection/free_endpoint.h"
 #include "envelope.pb.h"
+#include "limpethatch/request/organisations/key_digest.h"
 #include "programs/control/control_service.h"
 #include "programs/gateway/gateway.h"
 
@@ -241,6 +242,11 @@
   std::thread thread_;
 };
 
+struct OrganisationKey {
+  std::string organisation;
+  std::string key;
+};
+
 // Three control instances, and as many gateways and targets as the test adds.
 class FleetFixture {
  public:
@@ -279,8 +285,11 @@
   }
 
   // Puts a configuration into force with a route "/l/" to the service "desk"
-  // and a route "/j/" for batch jobs on the engines "coach".
-  void PutConfiguration(uint32_t max_attempts) {
+  // and a route "/j/" for batch jobs on the engines "coach". With
+  // organisations, requests need a key.
+  void PutConfiguration(uint32_t max_attempts,
+                        uint64_t version = 1,
+                        const std::vector<OrganisationKey>& keys = {}) {
     wire::Envelope envelope;
     wire::ControlRequest& request = *envelope.mutable_request();
     request.set_from("operator");
@@ -289,7 +298,13 @@
     wire::FleetConfiguration& configuration = *request.mutable_command()
                                                    ->mutable_configuration_put()
                                                    ->mutable_configuration();
-    configuration.set_version(1);
+    configuration.set_version(version);
+    for (const OrganisationKey& key : keys) {
+      configuration.set_keys_required(true);
+      wire::Organisation& organisation = *configuration.add_organisations();
+      organisation.set_name(key.organisation);
+      organisation.add_key_digests(EncodeKeyDigest(DigestOfKey(key.key)));
+    }
     configuration.add_services()->set_name("desk");
     wire::ServiceDeclaration& coach = *configuration.add_services();
     coach.set_name("coach");
@@ -317,7 +332,7 @@
       request.set_id(request.id() + 1);
       request.set_oldest_open(request.id());
       service.Receive(envelope.SerializeAsString());
-      return !service.fleet()->KnowsService("undeclared");
+      return service.fleet()->configuration_version() == version;
     };
     while (!Leader().Ask<bool>(put)) {
       std::this_thread::sleep_for(std::chrono::milliseconds(50));
--- a/tests/control/sample_runner_test.cc
+++ b/tests/control/sample_runner_test.cc
@@ -71,8 +71,13 @@
 class RunnerFixture {
  public:
   // `tokens`: of the prompt and the most output; 0: not stated.
-  explicit RunnerFixture(uint64_t tokens = 0) {
+  explicit RunnerFixture(uint64_t tokens = 0,
+                         const std::string& organisation = "") {
     wire::JobSubmit submit;
+    submit.set_organisation(organisation);
+    wire::HeaderField claim;
+    claim.set_name("Tenant");
+    claim.set_value("claimed");
     submit.set_job("job");
     submit.set_service("coach");
     submit.set_model("model");
@@ -82,6 +87,7 @@
     sample.set_path("/s");
     sample.set_tokens(tokens);
     sample.set_prompt_tokens(tokens == 0 ? 0 : kPromptTokens);
+    *sample.add_headers() = claim;
     jobs.Apply(submit);
   }
 
@@ -100,14 +106,16 @@
     weights.set_version(5);
     scheduler.engine_table().Announce(record);
     const uint64_t broken_before = runner.counters().broken;
-    runner.Start({{"job", 0}, id, 5, software_version}, *jobs.Find("job"));
+    runner.Start({{"job", 0}, id, 5, software_version}, *jobs.Find("job"),
+                 keys_required);
     while (runner.counters().broken == broken_before &&
            runner.counters().finished == 0) {
       io.run_one();
     }
   }
 
-  int leaving = 0;  // Engines that said that they are leaving.
+  bool keys_required = false;  // Whether organisations are configured.
+  int leaving = 0;             // Engines that said that they are leaving.
   JobLedger jobs;
   std::vector<wire::SamplesAdvance> recorded;
   boost::asio::io_context io;
@@ -207,6 +215,33 @@
   cr_assert_eq(fixture.runner.counters().limits_exceeded, 1);
 }
 
+// Guards against engines that believe the organisation that a submission
+// claims, also for a job that was submitted before organisations were
+// configured.
+Test(sample_runner, engines_are_told_the_organisation_of_the_job) {
+  struct Case {
+    std::string organisation;
+    bool keys_required = false;
+    std::string told;
+  };
+  for (const Case& each : std::vector<Case>{{"hule930", true, "hule930"},
+                                            {"hule930", false, "hule930"},
+                                            {"", true, ""},
+                                            {"", false, "claimed"}}) {
+    BreakingEngine engine;
+    RunnerFixture fixture(0, each.organisation);
+    fixture.keys_required = each.keys_required;
+    fixture.Run(engine, "i-1", "v1");
+    const std::string& head = engine.request_head();
+    if (each.told.empty()) {
+      cr_assert(head.find("Tenant:") == std::string::npos, "%s", head.c_str());
+    } else {
+      cr_assert(head.find("Tenant: " + each.told + "\r\n") != std::string::npos,
+                "%s", head.c_str());
+    }
+  }
+}
+
 // Guards against sending further samples to an engine that leaves.
 Test(sample_runner, an_engine_that_says_it_leaves_is_reported) {
   BreakingEngine staying;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -19,6 +19,7 @@
 #include "connection/endless_server.h"
 #include "connection/free_endpoint.h"
 #include "envelope.pb.h"
+#include "limpethatch/request/organisations/key_digest.h"
 
 #include <criterion/criterion.h>
 
@@ -95,6 +96,12 @@
     relay.set_address(address.ToString());
     relay.set_zone("z");
   }
+  // With organisations, requests need a key, except on "/p/".
+  void AddOrganisation(const std::string& name, const std::string& key) {
+    wire::Organisation& organisation = organisations_.emplace_back();
+    organisation.set_name(name);
+    organisation.add_key_digests(EncodeKeyDigest(DigestOfKey(key)));
+  }
   // Call it only while no gateway runs.
   void MarkGone(const std::string& id) {
     for (wire::TargetRecord& target : *news_.mutable_targets()) {
@@ -191,6 +198,14 @@
     slow.set_name("slow");
     slow.set_path_prefix("/slow/");
     slow.set_timeout_ms(600'000);
+    wire::Route& open = *configuration.add_routes();
+    open = route;
+    open.set_name("open");
+    open.set_path_prefix("/p/");
+    open.set_public_access(true);
+    configuration.set_keys_required(!organisations_.empty());
+    configuration.mutable_organisations()->Add(organisations_.begin(),
+                                               organisations_.end());
     configuration.mutable_limits()->set_max_header_bytes(2048);
     configuration.mutable_limits()->set_max_body_bytes(100);
     Endpoint to;
@@ -200,6 +215,7 @@
 
   const Endpoint endpoint_;
   wire::FleetNews news_;
+  std::vector<wire::Organisation> organisations_;
   std::map<std::string, std::string> stream_origins_;  // Messenger's thread.
   Messenger messenger_;
 };
@@ -847,6 +863,68 @@
             fixture.CallsForGateways().c_str());
 }
 
+// A target that answers with what it was told of the client.
+HttpResponse IdentityAnswer(const HttpRequest& request) {
+  HttpResponse response = SignedAnswer(request, kAttemptId);
+  response.body = "tenant=" + std::string(request.headers.Get("Tenant")) +
+                  " key=" + std::string(request.headers.Get("X-Api-Key")) + ".";
+  return response;
+}
+
+// Guards against targets that learn a key or believe a client, directly and by
+// way of another gateway, and against requests that lose their organisation
+// there.
+Test(gateway, targets_are_told_the_organisation_of_the_key) {
+  FakeTarget target(IdentityAnswer);
+  CutOffFixture fixture(target.endpoint());
+  for (GatewayFixture* side : {&fixture.cut_off, &fixture.other}) {
+    side->control->AddOrganisation("hule930", "k1");
+  }
+  fixture.Start();
+  const std::string claim = "Tenant: victim\r\n";
+  for (GatewayFixture* side : {&fixture.cut_off, &fixture.other}) {
+    const std::string named =
+        side->Call(Post("/l/x", claim + "X-Api-Key: k1\r\n"));
+    cr_assert(named.find("tenant=hule930 key=.") != std::string::npos, "%s",
+              named.c_str());
+    const std::string unnamed =
+        side->Call(Post("/p/x", claim + "X-Api-Key: unknown\r\n"));
+    cr_assert(unnamed.find("tenant= key=.") != std::string::npos, "%s",
+              unnamed.c_str());
+    cr_assert(StatusOf(side->Call(Post("/l/x", claim))) == "401");
+  }
+  cr_assert_eq(target.calls, 4);
+}
+
+// Guards against a request that another gateway serves although it knows that
+// its key was revoked.
+Test(gateway, a_relayed_request_needs_a_key_that_the_relay_knows) {
+  FakeTarget target(IdentityAnswer);
+  CutOffFixture fixture(target.endpoint());
+  fixture.cut_off.control->AddOrganisation("hule930", "revoked");
+  fixture.other.control->AddOrganisation("hule930", "k2");
+  fixture.Start();
+  const std::string answer =
+      fixture.cut_off.Call(Post("/l/x", "X-Api-Key: revoked\r\n"));
+  cr_assert(StatusOf(answer) == "503", "%s", answer.c_str());
+  cr_assert(answer.find("revoked") == std::string::npos);
+  cr_assert_eq(target.calls, 0);
+}
+
+// Guards against a change for fleets without organisations.
+Test(gateway, without_organisations_headers_are_passed_on) {
+  FakeTarget target(IdentityAnswer);
+  GatewayFixture fixture;
+  fixture.control->AddTarget("i-1", target.endpoint());
+  fixture.control->Start();
+  fixture.Start();
+  cr_assert(fixture.WaitUntilReady(true));
+  const std::string answer =
+      fixture.Call(Post("/l/x", "Tenant: any\r\nX-Api-Key: k1\r\n"));
+  cr_assert(answer.find("tenant=any key=k1.") != std::string::npos, "%s",
+            answer.c_str());
+}
+
 // Guards against asking other gateways because of one target that is down.
 Test(gateway, a_target_that_is_down_does_not_send_requests_to_other_gateways) {
   FakeTarget target([](const HttpRequest& request) {
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -275,7 +275,7 @@
   request.headers.Add("X-Kept", "1");
   request.headers.Add("X-Kept", "2");
   const HttpRequest sent =
-      MakeTargetRequest(request, "i-1", std::chrono::milliseconds(500));
+      MakeTargetRequest(request, "i-1", std::chrono::milliseconds(500), {});
   cr_assert(sent.headers.Get("Host") == "a.example");
   cr_assert(sent.headers.Get("Deadline-Ms") == "500");
   cr_assert(sent.headers.Get("Expect-Instance") == "i-1");
--- a/tests/platform/gateway_api_test.cc
+++ b/tests/platform/gateway_api_test.cc
@@ -7,37 +7,13 @@
 #include <vector>
 
 #include "limpethatch/connection/yield.h"
+#include "platform/fake_exchange.h"
 
 #include <criterion/criterion.h>
 
 namespace limpethatch {
 namespace {
 
-// A request whose answer is recorded.
-class FakeExchange : public HttpExchange {
- public:
-  FakeExchange(Yield yield, HttpRequest request)
-      : yield_(std::move(yield)), request_(std::move(request)) {}
-
-  const HttpRequest& request() const override { return request_; }
-  Yield yield() const override { return yield_; }
-  std::error_code Respond(const HttpResponse& response) override {
-    status = response.status;
-    return {};
-  }
-  std::error_code StartStream(int, const HttpHeaders&) override { return {}; }
-  std::error_code WriteChunk(std::string_view) override { return {}; }
-  std::error_code FinishStream() override { return {}; }
-  bool PeerDisconnected() override { return disconnected; }
-
-  int status = 0;
-  bool disconnected = false;
-
- private:
-  Yield yield_;
-  HttpRequest request_;
-};
-
 // Has one route, for batch jobs.
 class FakeGateway : public GatewayInterface {
  public:
@@ -56,21 +32,25 @@
   RouteTablePtr routes() const override { return routes_; }
   bool IsConfigurationCurrent() const override { return true; }
   bool IsConfigurationOutdated() const override { return false; }
-  void ServeLive(HttpExchange&, const wire::Route&) override {}
-  ChangeOutcome SubmitJob(Yield, const wire::JobSubmit& submit) override {
+  void ServeLive(HttpExchange&,
+                 const wire::Route&,
+                 const std::string&) override {}
+  JobChange SubmitJob(Yield, const wire::JobSubmit& submit) override {
     submitted.push_back(submit.job());
-    return ChangeOutcome::kDone;
+    return {ChangeOutcome::kDone};
   }
-  ChangeOutcome EndJob(Yield, const std::string&, bool*) override {
-    return ChangeOutcome::kDone;
+  JobChange EndJob(Yield, const std::string&, const std::string&) override {
+    return {ChangeOutcome::kDone};
   }
   std::optional<wire::JobPage> ReadJob(Yield,
+                                       const std::string&,
                                        const std::string&,
                                        uint64_t,
                                        Duration) override {
     return std::nullopt;
   }
   std::optional<wire::JobBody> ReadBody(Yield,
+                                        const std::string&,
                                         const std::string&,
                                         const std::string&) override {
     return std::nullopt;
