Add duties with a single holder and usage reports

The platform wants work such as usage reports from one machine at a time, and the requests of each organisation in fixed windows. A ledger in the replicated log names the holder of a duty and its fencing token; a lease decides when a leader may act on it; gateways count requests, and the leader records each window before it reports it, so that every report of a window is the same.

Everything is off unless the settings of the control instances have "duties". Log format 3 gates the new commands.

--- a/src/limpethatch/version/fleet_ledger.cc
+++ b/src/limpethatch/version/fleet_ledger.cc
@@ -46,6 +46,17 @@
     case wire::Command::kCrashEvidence:
       crashes_.Apply(command.crash_evidence());
       return true;
+    case wire::Command::kDutyClaim:
+      // Replicas of earlier builds ignore duties and usage.
+      if (log_format_ >= LogFormat::kOrganisations) {
+        duties_.Apply(command.duty_claim());
+      }
+      return true;
+    case wire::Command::kUsageRecord:
+      if (log_format_ >= LogFormat::kOrganisations) {
+        usage_.Apply(command.usage_record());
+      }
+      return true;
     default:
       return false;
   }
@@ -104,6 +115,12 @@
     *snapshot.add_crashed_runs() = run;
   }
   snapshot.set_log_format(static_cast<uint32_t>(log_format_));
+  for (wire::DutyState& duty : duties_.Snapshot()) {
+    *snapshot.add_duties() = std::move(duty);
+  }
+  if (usage_.next_window() != 0) {
+    *snapshot.mutable_usage() = usage_.Snapshot();
+  }
   std::vector<ByteRope::Piece> parts;
   parts.push_back(
       std::make_shared<const std::string>(snapshot.SerializeAsString()));
@@ -130,6 +147,12 @@
     wire::CrashEvidence crashes;
     crashes.mutable_crashed_runs()->Swap(snapshot.mutable_crashed_runs());
     crashes_.Apply(crashes);
+    for (const wire::DutyState& duty : snapshot.duties()) {
+      duties_.Restore(duty);
+    }
+    if (snapshot.has_usage()) {
+      usage_.Restore(snapshot.usage());
+    }
     // The first part states the format; it precedes the jobs.
     log_format_ = std::max(log_format_, LogFormat{snapshot.log_format()});
     if (log_format_ < LogFormat::kScoredSamples) {
--- a/src/limpethatch/version/fleet_ledger.h
+++ b/src/limpethatch/version/fleet_ledger.h
@@ -1,6 +1,6 @@
 // Replicated state of a fleet: the configuration in force, the newest weight
-// version of each model, batch jobs, retired instances, and the requests that
-// were running when targets crashed.
+// version of each model, batch jobs, retired instances, the requests that were
+// running when targets crashed, the holders of duties, and usage windows.
 #ifndef LIMPETHATCH_VERSION_FLEET_LEDGER_H_
 #define LIMPETHATCH_VERSION_FLEET_LEDGER_H_
 
@@ -12,8 +12,10 @@
 
 #include "ledger.pb.h"
 #include "limpethatch/version/crash_ledger.h"
+#include "limpethatch/version/duties/duty_ledger.h"
 #include "limpethatch/version/job_ledger.h"
 #include "limpethatch/version/log_format.h"
+#include "limpethatch/version/usage/usage_ledger.h"
 
 namespace limpethatch {
 
@@ -32,6 +34,8 @@
   const JobLedger& jobs() const { return jobs_; }
   const std::set<std::string>& retired() const { return retired_; }
   const CrashLedger& crashes() const { return crashes_; }
+  const DutyLedger& duties() const { return duties_; }
+  const UsageLedger& usage() const { return usage_; }
   // The newest format that commands may have. A later one in the log was raised
   // by a newer build, and is kept as it is.
   LogFormat log_format() const { return log_format_; }
@@ -53,6 +57,8 @@
   JobLedger jobs_;
   std::set<std::string> retired_;
   CrashLedger crashes_;
+  DutyLedger duties_;
+  UsageLedger usage_;
   LogFormat log_format_ = LogFormat::kBase;
 };
 
--- a/src/limpethatch/version/log_format.h
+++ b/src/limpethatch/version/log_format.h
@@ -15,9 +15,10 @@
   kBase = 0,
   kScoredSamples = 1,      // Samples with reward calls, and their scores.
   kEndsOfUnknownJobs = 2,  // The end of a job that was not submitted yet.
+  kOrganisations = 3,      // Jobs of organisations, duties, usage records.
 };
 
-inline constexpr LogFormat kNewestLogFormat = LogFormat::kEndsOfUnknownJobs;
+inline constexpr LogFormat kNewestLogFormat = LogFormat::kOrganisations;
 
 }  // namespace limpethatch
 
--- a/src/programs/control/control_settings.cc
+++ b/src/programs/control/control_settings.cc
@@ -1,5 +1,6 @@
 #include "programs/control/control_settings.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -14,6 +15,10 @@
 constexpr Bounds<uint64_t> kToleratedLosses{0, 3};
 constexpr int kMinHeartbeatsPerElection = 4;
 constexpr Bounds<uint64_t> kSnapshotEntries{10, 10'000'000};
+// The length of a window in milliseconds is sent to gateways.
+constexpr Duration kMinUsageWindow = std::chrono::seconds(1);
+// A new leader waits 2.5 s for the counts of gateways.
+constexpr Duration kMinUsageDue = std::chrono::seconds(5);
 constexpr std::string_view kWeighted = "weighted";
 constexpr std::string_view kFifo = "fifo";
 
@@ -22,6 +27,7 @@
 void ControlSettings::ReadFrom(JsonReader& reader) {
   ReadProcessSettings(reader, &process);
   ReadFleet(reader);
+  ReadDuties(reader);
   std::map<std::string, Endpoint*> listeners{{"peers", &peers}};
   if (fleet) {
     listeners.emplace("api", &api);
@@ -85,6 +91,32 @@
   child->RejectUnknown();
 }
 
+void ControlSettings::ReadDuties(JsonReader& reader) {
+  std::optional<JsonReader> child = reader.Child("duties", kOptional);
+  if (!child) {
+    return;
+  }
+  duties.emplace();
+  child->Read("platform", &duties->platform, kRequired);
+  child->Read("names", &duties->names, kRequired);
+  child->Read("usage_window", &duties->usage_window, kOptional);
+  child->Read("usage_due", &duties->usage_due, kOptional);
+  if (duties->usage_window < kMinUsageWindow) {
+    child->AddFault("usage_window", "expected 1s or more");
+  }
+  if (duties->usage_due < kMinUsageDue) {
+    child->AddFault("usage_due", "expected 5s or more");
+  }
+  if (!fleet) {
+    child->AddFault("platform", "expected a member \"fleet\" beside duties");
+  }
+  child->RejectUnknown();
+}
+
+bool DutySettings::Includes(std::string_view duty) const {
+  return std::find(names.begin(), names.end(), duty) != names.end();
+}
+
 WeightedDispatchOptions ControlSettings::DispatchOptions() const {
   return dispatch == kFifo ? FifoOptions() : WeightedDispatchOptions{};
 }
--- a/src/programs/control/control_settings.h
+++ b/src/programs/control/control_settings.h
@@ -3,7 +3,9 @@
 #define LIMPETHATCH_PROGRAMS_CONTROL_CONTROL_SETTINGS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "consensus.pb.h"
@@ -12,6 +14,18 @@
 
 namespace limpethatch {
 
+// Work of the leader for the platform, by calls to it.
+struct DutySettings {
+  Endpoint platform;
+  std::vector<std::string> names;  // Of the duties that the platform knows.
+  // Length of the windows in which usage is reported.
+  Duration usage_window = std::chrono::seconds(5);
+  // Time from the end of a window until its report is due.
+  Duration usage_due = std::chrono::seconds(10);
+
+  bool Includes(std::string_view duty) const;
+};
+
 struct ControlSettings {
   ProcessSettings process;
   Endpoint peers;  // Listen address for internal messages.
@@ -48,6 +62,9 @@
   // leader is unresponsive.
   Duration order_lease = std::chrono::seconds(3);
 
+  // Absent: none is held, and usage is neither counted nor reported.
+  std::optional<DutySettings> duties;
+
   // Order in which waiting samples are dispatched: "weighted", or "fifo" as a
   // baseline. Must be the same on all control instances.
   std::string dispatch = "weighted";
@@ -61,6 +78,7 @@
 
  private:
   void ReadFleet(JsonReader& reader);
+  void ReadDuties(JsonReader& reader);
 };
 
 }  // namespace limpethatch
--- a/src/programs/control/fleet_leader.cc
+++ b/src/programs/control/fleet_leader.cc
@@ -33,6 +33,9 @@
   reward_runner_.Reset();
   reward_scheduler_.Reset();
   log_format_proposed_ = false;
+  if (usage_reporter_) {
+    usage_reporter_->OnLeadershipChange();
+  }
   if (leading) {
     previous_leader_ = last_leader_;
     leading_since_ = Clock::now();
@@ -123,6 +126,9 @@
                          plan.starts.end());
   StartSamples(now);
   RunRewardTasks(now);
+  if (usage_reporter_) {
+    usage_reporter_->Run(now);
+  }
   AnswerPendingJobQueries(now);
 }
 
--- a/src/programs/control/fleet_metrics.cc
+++ b/src/programs/control/fleet_metrics.cc
@@ -91,6 +91,14 @@
   text.Family("limpethatch_reward_latency_seconds", MetricType::kHistogram,
               "Time to the score of one reward call.");
   reward_runner_.latency().Write({"outcome", "scored"}, &text);
+  if (usage_reporter_) {
+    counter("limpethatch_usage_windows_reported_total",
+            "Windows whose usage the platform has acknowledged.",
+            static_cast<double>(usage_reporter_->windows_reported()));
+    text.Family("limpethatch_duty_held", MetricType::kGauge,
+                "1 while this instance may act as the holder of the duty.");
+    text.Sample({{"duty", "usage"}}, usage_reporter_->holds_duty() ? 1 : 0);
+  }
   HttpResponse response;
   response.headers.Set("Content-Type", "text/plain; version=0.0.4");
   response.body = text.text();
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -116,7 +116,9 @@
                  uint32_t running,
                  uint32_t waiting) {
             OnTargetLoad(target, running, waiting);
-          }) {}
+          }) {
+  StartDuties();
+}
 
 RunListener FleetService::MakeRunListener() {
   return {[this](const wire::SamplesAdvance& advances) {
@@ -266,7 +268,8 @@
   if (!request.has_configuration() && !request.has_job() &&
       !request.has_job_body() && !request.has_target_rate() &&
       !request.has_target_permit() && !request.has_stream_begun() &&
-      !request.has_stream_origin() && !request.has_target_leaving()) {
+      !request.has_stream_origin() && !request.has_target_leaving() &&
+      !request.has_usage_counts()) {
     return false;
   }
   if (!replica_.consensus() || !replica_.consensus()->leading()) {
@@ -283,6 +286,8 @@
     RecordStreamOrigin(request);
   } else if (request.has_stream_origin()) {
     AnswerStreamOriginQuery(request);
+  } else if (request.has_usage_counts()) {
+    AnswerUsageCounts(request);
   } else if (request.has_target_leaving()) {
     OnTargetLeaving(request.target_leaving().target(),
                     request.target_leaving().incarnation());
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -24,6 +24,7 @@
 #include "limpethatch/process/member_planner.h"
 #include "limpethatch/process/target_registry.h"
 #include "limpethatch/process/transfer_queue.h"
+#include "limpethatch/process/wall_clock.h"
 #include "limpethatch/process/work_pacer.h"
 #include "limpethatch/request/stream_origins.h"
 #include "limpethatch/version/sample_scheduler.h"
@@ -33,6 +34,7 @@
 #include "programs/control/reward_runner.h"
 #include "programs/control/run_listener.h"
 #include "programs/control/sample_runner.h"
+#include "programs/control/usage_reporter.h"
 #include "programs/control/weight_order_client.h"
 
 namespace limpethatch {
@@ -251,6 +253,13 @@
   void ExpireJobs(TimePoint now);
   // The term if this replica may issue orders now, else 0.
   uint64_t OrderTerm() const;
+
+  // Duties.
+  // Creates the parts for the duties that the settings name.
+  void StartDuties();
+  DutyLeadership Leadership(TimePoint now) const;
+  void AnswerUsageCounts(const wire::ControlRequest& request);
+
   // Proposes progress of samples; false if that is not possible now.
   bool RecordAdvances(const wire::SamplesAdvance& advances);
   void ServeMetrics(HttpExchange& exchange);
@@ -321,6 +330,9 @@
   SampleRunner sample_runner_;
   WeightOrderClient weight_order_client_;
 
+  const SystemWallClock wall_clock_;
+  std::optional<UsageReporter> usage_reporter_;
+
   std::mt19937_64 random_;
   RewardScheduler reward_scheduler_;
   RewardRunner reward_runner_;
--- a/src/programs/control/fleet_targets.cc
+++ b/src/programs/control/fleet_targets.cc
@@ -243,6 +243,11 @@
   news.set_configuration_version(ledger().configuration().version());
   *news.mutable_target_rates() = EncodeRateLimits();
   *news.mutable_suspects() = ledger().crashes().LiveSuspects();
+  if (usage_reporter_) {
+    news.set_usage_window_ms(static_cast<uint64_t>(
+        std::chrono::duration_cast<milliseconds>(settings_.duties->usage_window)
+            .count()));
+  }
   news.add_control_endpoints(settings_.peers.ToString());
   for (const auto& [id, peer] : peers_) {
     if (MayServe(peer) && now - peer.last_contact_at < kAliveTimeout) {
--- a/src/programs/gateway/fleet_subscriber.cc
+++ b/src/programs/gateway/fleet_subscriber.cc
@@ -213,6 +213,10 @@
   freshness_.SetInstances(static_cast<size_t>(news.control_endpoints_size()));
   callbacks_.on_target_rates(news.target_rates());
   callbacks_.on_suspects(news.suspects());
+  if (news.usage_window_ms() > 0) {
+    callbacks_.on_usage_window(
+        std::chrono::milliseconds(news.usage_window_ms()));
+  }
   if (news.has_relays()) {
     callbacks_.on_relays(news.relays());
   }
--- a/src/programs/gateway/fleet_subscriber.h
+++ b/src/programs/gateway/fleet_subscriber.h
@@ -35,6 +35,9 @@
     std::function<void(const wire::RelayGateways& relays)> on_relays;
     // Called for each new or changed target, also for those that are gone.
     std::function<void(const wire::TargetRecord& target)> on_target;
+    // Called if the requests of organisations are to be counted, with the
+    // length of the windows.
+    std::function<void(Duration length)> on_usage_window = [](Duration) {};
   };
 
   FleetSubscriber(TimerService& timers,
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -40,6 +40,8 @@
 // Requests that are still active at the end of an orderly stop are answered
 // within this time; several times the period at which calls check for it.
 constexpr Duration kFinalAnswerTime = milliseconds(400);
+// Time limit for the usage counts that are sent at the end of an orderly stop.
+constexpr Duration kFinalUsageTime = milliseconds(500);
 
 ChangeOutcome ToChangeOutcome(ControlCertainty certainty) {
   switch (certainty) {
@@ -75,6 +77,12 @@
           io_,
           control_client_,
           [this] { return fleet_subscriber_.HasCurrentTargets(); }),
+      usage_sender_(io_,
+                    timers_,
+                    control_client_,
+                    usage_counter_,
+                    wall_clock_,
+                    settings.process.id),
       fleet_subscriber_(timers_,
                         messenger_,
                         settings_,
@@ -93,6 +101,9 @@
                          [this](const wire::TargetRecord& target) {
                            stream_directory_.OnTarget(target);
                            suspect_requests_.OnTarget(target);
+                         },
+                         [this](Duration usage_window) {
+                           usage_sender_.SetWindowLength(usage_window);
                          }}),
       leaving_targets_(io_, control_client_, fleet_subscriber_),
       suspect_requests_(io_, control_client_, fleet_subscriber_.targets()),
@@ -138,7 +149,9 @@
                          leaving_targets_,
                          suspect_requests_,
                          service_reach_,
-                         relay_choice_},
+                         relay_choice_,
+                         usage_counter_,
+                         wall_clock_},
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       settings_watcher_(timers_, settings_path_, [this] { Reload(); }),
       event_loop_monitor_(timers_, kEventLoopCheckPeriod) {}
@@ -231,7 +244,8 @@
 void Gateway::ServeLive(HttpExchange& exchange, const wire::Route& route) {
   // Keeps `route` valid during the call, even if the configuration changes.
   const RouteTablePtr table = fleet_subscriber_.routes();
-  ServeLiveCall(live_call_context_, exchange, route, LiveCallOrigin::kCaller);
+  ServeLiveCall(live_call_context_, exchange, route, "",
+                LiveCallOrigin::kCaller);
 }
 
 wire::RelayGateway Gateway::MakeRelayOffer() const {
@@ -261,7 +275,8 @@
     exchange.Respond(refusal);
     return;
   }
-  ServeLiveCall(live_call_context_, exchange, *route, LiveCallOrigin::kGateway);
+  ServeLiveCall(live_call_context_, exchange, *route, "",
+                LiveCallOrigin::kGateway);
 }
 
 ChangeOutcome Gateway::SubmitJob(Yield yield, const wire::JobSubmit& submit) {
@@ -397,7 +412,7 @@
                     relay_server_.active_requests() == 0;
   const TimePoint now = Clock::now();
   if (idle || now >= deadline + kFinalAnswerTime) {
-    io_.stop();
+    Exit();
     return;
   }
   if (now >= deadline && !std::exchange(live_call_context_.ending, true)) {
@@ -409,6 +424,13 @@
                 [this, deadline](TimePoint) { ExitWhenIdle(deadline); });
 }
 
+void Gateway::Exit() {
+  Spawn(io_, [this](Yield yield) {
+    usage_sender_.SendAll(yield, Clock::now() + kFinalUsageTime);
+    io_.stop();
+  });
+}
+
 void Gateway::ServeMetrics(HttpExchange& exchange) {
   HttpResponse response;
   response.headers.Set("Content-Type", "text/plain; version=0.0.4");
--- a/src/programs/gateway/gateway.h
+++ b/src/programs/gateway/gateway.h
@@ -17,6 +17,8 @@
 #include "limpethatch/process/event_loop_monitor.h"
 #include "limpethatch/process/settings_watcher.h"
 #include "limpethatch/process/timer_service.h"
+#include "limpethatch/process/wall_clock.h"
+#include "limpethatch/request/usage/usage_counter.h"
 #include "programs/gateway/fleet_subscriber.h"
 #include "programs/gateway/gateway_metrics.h"
 #include "programs/gateway/gateway_settings.h"
@@ -25,6 +27,7 @@
 #include "programs/gateway/stream_directory.h"
 #include "programs/gateway/suspect_requests.h"
 #include "programs/gateway/target_permits.h"
+#include "programs/gateway/usage_sender.h"
 
 namespace limpethatch {
 
@@ -71,6 +74,8 @@
   // Starts an orderly stop; further calls have no effect.
   void Stop();
   void ExitWhenIdle(TimePoint deadline);
+  // Sends the remaining usage counts and stops the event loop.
+  void Exit();
   void ServeMetrics(HttpExchange& exchange);
   // Serves a request that another gateway hands to this one.
   void ServeForGateway(HttpExchange& exchange);
@@ -85,6 +90,9 @@
   ControlClient control_client_;
   TargetPermits target_permits_;
   StreamDirectory stream_directory_;
+  const SystemWallClock wall_clock_;
+  UsageCounter usage_counter_;
+  UsageSender usage_sender_;
   FleetSubscriber fleet_subscriber_;
   LeavingTargets leaving_targets_;
   SuspectRequests suspect_requests_;
--- a/src/programs/gateway/live_attempt.cc
+++ b/src/programs/gateway/live_attempt.cc
@@ -179,6 +179,15 @@
   return Accept(state, std::move(answer), true);
 }
 
+// Takes back the count of an attempt that did not run.
+void UpdateUsage(LiveCallState& state,
+                 size_t attempt,
+                 const std::optional<Failure>& failure) {
+  if (failure && failure->result == AttemptResult::kNotRun) {
+    state.usage.OnNotRun(attempt);
+  }
+}
+
 // Records the end of an attempt of a call that has not finished yet.
 void EndAttempt(LiveCallState& state,
                 const std::string& peer,
@@ -201,10 +210,12 @@
 void CallTarget(Yield yield,
                 LiveCallContext& context,
                 LiveCallState& state,
+                size_t attempt,
                 const RoutedTarget& routed,
                 const HttpRequest& request,
                 const HttpCallOptions& options) {
   if (state.finished) {
+    state.usage.OnNotRun(attempt);
     return;
   }
   const Target& target = routed.target;
@@ -224,6 +235,7 @@
       outcome.stream
           ? ReadTargetAnswer(yield, context, state, target, *outcome.stream)
           : ConnectionFailure(outcome.error, outcome.progress);
+  UpdateUsage(state, attempt, failure);
   const bool may_have_run =
       failure && failure->result == AttemptResult::kUnknown && failure->error;
   if (state.finished) {
@@ -247,10 +259,12 @@
 void CallRelay(Yield yield,
                LiveCallContext& context,
                LiveCallState& state,
+               size_t attempt,
                const Endpoint& relay,
                const HttpRequest& request,
                const HttpCallOptions& options) {
   if (state.finished) {
+    state.usage.OnNotRun(attempt);
     return;
   }
   HttpStreamOutcome outcome =
@@ -264,6 +278,7 @@
       context.relays.OnFailure(relay, Clock::now());
     }
   }
+  UpdateUsage(state, attempt, failure);
   if (!state.finished) {
     EndAttempt(state, relay.ToString(), 0, failure);
   }
@@ -278,9 +293,10 @@
                       HttpCallOptions options) {
   options.connect_timeout = kConnectTimeout;
   options.max_body_bytes = kMaxAnswerBytes;
-  Spawn(context.io, [&context, state, target, request = std::move(request),
+  Spawn(context.io, [&context, state, attempt = state->attempts.size() - 1,
+                     target, request = std::move(request),
                      options = std::move(options)](Yield yield) {
-    CallTarget(yield, context, *state, target, request, options);
+    CallTarget(yield, context, *state, attempt, target, request, options);
   });
 }
 
@@ -291,9 +307,10 @@
                        HttpCallOptions options) {
   options.connect_timeout = kConnectTimeout;
   options.max_body_bytes = kMaxAnswerBytes;
-  Spawn(context.io, [&context, state, relay, request = std::move(request),
+  Spawn(context.io, [&context, state, attempt = state->attempts.size() - 1,
+                     relay, request = std::move(request),
                      options = std::move(options)](Yield yield) {
-    CallRelay(yield, context, *state, relay, request, options);
+    CallRelay(yield, context, *state, attempt, relay, request, options);
   });
 }
 
--- a/src/programs/gateway/live_attempt.h
+++ b/src/programs/gateway/live_attempt.h
@@ -7,11 +7,13 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "limpethatch/connection/http_client.h"
 #include "limpethatch/request/live_attempts.h"
 #include "limpethatch/request/target.h"
+#include "limpethatch/request/usage/request_usage.h"
 #include "programs/gateway/live_call_context.h"
 
 namespace limpethatch {
@@ -32,12 +34,14 @@
 // State of a request. It is shared with the coroutines of its attempts, which
 // may outlive the coroutine of the request.
 struct LiveCallState {
-  explicit LiveCallState(const boost::asio::any_io_executor& executor)
-      : wake_timer(executor) {}
+  LiveCallState(const boost::asio::any_io_executor& executor,
+                RequestUsage request_usage)
+      : wake_timer(executor), usage(std::move(request_usage)) {}
 
   boost::asio::steady_timer wake_timer;
   std::string attempt_id;  // Of the caller.
   std::string content;     // Digest of the request's content.
+  RequestUsage usage;      // Its attempts have the indexes of `attempts`.
   bool finished = false;
   bool is_stream = false;
   Duration hedge_after{};
--- a/src/programs/gateway/live_call.cc
+++ b/src/programs/gateway/live_call.cc
@@ -43,6 +43,7 @@
   LiveCall(LiveCallContext& context,
            HttpExchange& exchange,
            const wire::Route& route,
+           const std::string& organisation,
            LiveCallOrigin origin)
       : context_(context),
         exchange_(exchange),
@@ -50,8 +51,12 @@
         origin_(origin),
         caller_headers_(platform::DecodeCallerHeaders(exchange.request())),
         started_at_(Clock::now()),
-        state_(
-            std::make_shared<LiveCallState>(exchange.yield().get_executor())) {
+        state_(std::make_shared<LiveCallState>(
+            exchange.yield().get_executor(),
+            // The gateway that hands a request on counts it.
+            RequestUsage(
+                context.usage,
+                origin == LiveCallOrigin::kCaller ? organisation : ""))) {
     state_->attempt_id = caller_headers_.attempt_id;
     const Duration timeout =
         std::min<Duration>(caller_headers_.timeout.value_or(kDefaultTimeout),
@@ -212,6 +217,7 @@
     }
     state_->attempt_policy->Sent(now);
     state_->attempts.push_back({target});
+    state_->usage.OnSent(context_.wall_clock.Now());
     HttpCallOptions options;
     options.deadline = deadline_;
     options.progress_timeout = deadline_ - now;
@@ -361,8 +367,9 @@
 void ServeLiveCall(LiveCallContext& context,
                    HttpExchange& exchange,
                    const wire::Route& route,
+                   const std::string& organisation,
                    LiveCallOrigin origin) {
-  LiveCall(context, exchange, route, origin).Serve();
+  LiveCall(context, exchange, route, organisation, origin).Serve();
 }
 
 }  // namespace limpethatch
--- a/src/programs/gateway/live_call.h
+++ b/src/programs/gateway/live_call.h
@@ -4,6 +4,8 @@
 #ifndef LIMPETHATCH_PROGRAMS_GATEWAY_LIVE_CALL_H_
 #define LIMPETHATCH_PROGRAMS_GATEWAY_LIVE_CALL_H_
 
+#include <string>
+
 #include "fleet.pb.h"
 #include "limpethatch/connection/http_server.h"
 #include "programs/gateway/live_call_context.h"
@@ -20,10 +22,11 @@
 
 // Answers the request of `exchange`, which matched `route`. Returns when the
 // answer is sent or the caller has disconnected; the arguments must stay valid
-// until then.
+// until then. `organisation` is that of the request's key; empty: none.
 void ServeLiveCall(LiveCallContext& context,
                    HttpExchange& exchange,
                    const wire::Route& route,
+                   const std::string& organisation,
                    LiveCallOrigin origin);
 
 }  // namespace limpethatch
--- a/src/programs/gateway/live_call_context.h
+++ b/src/programs/gateway/live_call_context.h
@@ -7,7 +7,9 @@
 #include <random>
 
 #include "limpethatch/connection/http_client.h"
+#include "limpethatch/process/wall_clock.h"
 #include "limpethatch/request/router.h"
+#include "limpethatch/request/usage/usage_counter.h"
 #include "programs/gateway/gateway_metrics.h"
 #include "programs/gateway/leaving_targets.h"
 #include "programs/gateway/relay_choice.h"
@@ -32,6 +34,8 @@
   SuspectRequests& suspects;
   ServiceReach& reach;
   RelayChoice& relays;
+  UsageCounter& usage;
+  const WallClock& wall_clock;
   // The process ends: calls that still wait for targets are answered now.
   bool ending = false;
   // Of the bodies of answers that are being read.
