--- a/src/programs/control/usage_reporter.cc
+++ b/src/programs/control/usage_reporter.cc
@@ -164,10 +164,11 @@
 }
 
 void UsageReporter::Record(TimePoint now, const DutyLeadership& leadership) {
-  if (now < next_record_at_) {
+  const FleetLedger& ledger = host_.ledger();
+  if (now < next_record_at_ &&
+      ledger.usage().revision() == proposed_at_revision_) {
     return;
   }
-  const FleetLedger& ledger = host_.ledger();
   const WallTime wall_now = wall_clock_.Now();
   wire::UsageRecord record =
       recorder_
@@ -182,6 +183,7 @@
     return;
   }
   next_record_at_ = now + kProposalTimeout;
+  proposed_at_revision_ = ledger.usage().revision();
   wire::Command command;
   *command.mutable_usage_record() = record;
   const bool proposed = host_.propose(command);
--- a/src/programs/control/usage_reporter.h
+++ b/src/programs/control/usage_reporter.h
@@ -70,6 +70,7 @@
   // Proposals are repeated after these times if they have not been applied.
   TimePoint next_claim_at_;
   TimePoint next_record_at_;
+  uint64_t proposed_at_revision_ = 0;  // Of the usage ledger.
   bool calling_ = false;
   bool holds_duty_ = false;
   uint64_t windows_reported_ = 0;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -2,6 +2,7 @@
 
 #include "platform/call_codec.h"
 #include "platform/configuration_codec.h"
+#include "platform/duty_codec.h"
 #include "platform/engine_codec.h"
 #include "platform/job_codec.h"
 #include "platform/reward_codec.h"
@@ -367,4 +368,31 @@
   }
 }
 
+// Guards against repeats of a report that the platform takes for another one.
+Test(duty_codec, a_usage_report_depends_on_its_window_and_holder_only) {
+  wire::UsageWindow window;
+  window.set_number(353445120);
+  wire::OrganisationUsage& usage = *window.add_counts();
+  usage.set_organisation("hule930");
+  usage.set_requests(412);
+  const HttpRequest request = EncodeUsageReport(window, {"control-1", 7});
+  cr_assert(request.method == "POST");
+  cr_assert(request.path == "/usage");
+  cr_assert(request.headers.Get("Duty-Holder") == "control-1");
+  cr_assert(request.headers.Get("Fencing-Token") == "7");
+  cr_assert(request.body ==
+            R"({"window_number":353445120,"counts":{"hule930":412}})");
+}
+
+// Guards against a holder that goes on after a higher token was seen, and
+// against a window that is taken for reported although it was not.
+Test(duty_codec, only_200_acknowledges_and_409_fences) {
+  cr_assert(DecodeDutyAnswer(200) == DutyAnswer::kDone);
+  cr_assert(DecodeDutyAnswer(409) == DutyAnswer::kFenced);
+  cr_assert(DecodeDutyAnswer(429) == DutyAnswer::kLimited);
+  for (const int status : {202, 400, 404, 500, 503}) {
+    cr_assert(DecodeDutyAnswer(status) == DutyAnswer::kFailed);
+  }
+}
+
 }  // namespace limpethatch::platform
