--- a/tests/control/duty_settings_test.cc
+++ b/tests/control/duty_settings_test.cc
@@ -14,10 +14,11 @@
 
 using std::chrono::seconds;
 
-const std::string kSectionStart = "{{#cloud}}";
-const std::string kSectionEnd = "{{/cloud}}";
+const std::string kSectionStart = "{{#cloud.address}}";
+const std::string kSectionEnd = "{{/cloud.address}}";
 
-// The template as the platform renders it: sections without a value are
+// The template as the platform renders it: a section is rendered once for each
+// entry of a table, but once for a text, and sections without a value are
 // dropped.
 std::string RenderTemplate(bool with_cloud) {
   std::ifstream file(std::filesystem::path(LIMPETHATCH_SOURCE_DIR) /
@@ -43,8 +44,8 @@
       {"bootstrap|json", "false"},
       {"fault_tolerance.machines", "1"},
       {"bounds.lease_ms", "3000"},
-      {"address", "127.0.0.9:80"},
-      {"duties|json", R"(["usage","autoscaling"])"},
+      {"cloud.address", "127.0.0.9:80"},
+      {"cloud.duties|json", R"(["usage","autoscaling"])"},
       {"bounds.report_window_s", "5"},
       {"bounds.usage_late_s", "10"},
   };
