--- a/tests/platform/gateway_keys_test.cc
+++ b/tests/platform/gateway_keys_test.cc
@@ -120,13 +120,13 @@
 
 // Each call that needs a key.
 const std::vector<CallKind>& KeyedCalls() {
-  static const std::vector<CallKind> kCalls{
+  static const std::vector<CallKind> calls{
       {"POST", "/live/x"},
       {"POST", "/jobs/1", 202},
       {"GET", std::string("/v1/lots/") + kJob},
       {"DELETE", std::string("/v1/lots/") + kJob},
       {"GET", std::string("/v1/items/") + kJob}};
-  return kCalls;
+  return calls;
 }
 
 }  // namespace
