--- a/src/limpethatch/request/route_table.h
+++ b/src/limpethatch/request/route_table.h
@@ -16,7 +16,7 @@
 // An immutable index of one configuration.
 //
 // The organisations are only kept in their own table: as messages, 10,000 of
-// them with 3 keys each would take about 4 MB more.
+// them with 3 keys each would take about 5 MB more.
 class RouteTable {
  public:
   explicit RouteTable(wire::FleetConfiguration configuration);
--- a/tests/control/reward_runner_test.cc
+++ b/tests/control/reward_runner_test.cc
@@ -71,7 +71,8 @@
 
 class RewardFixture {
  public:
-  explicit RewardFixture(const Endpoint& address) {
+  explicit RewardFixture(const Endpoint& address,
+                         const std::string& organisation = "") {
     wire::FleetConfiguration configuration;
     configuration.add_services()->set_name("trial");
     wire::Route& route = *configuration.add_routes();
@@ -92,6 +93,7 @@
 
     wire::JobSubmit submit;
     submit.set_job("job");
+    submit.set_organisation(organisation);
     wire::JobSample& sample = *submit.add_samples();
     sample.set_id("sample");
     wire::RewardCall& call = *sample.mutable_reward_call();
@@ -184,6 +186,21 @@
 
 }  // namespace
 
+// Guards against targets that get reward calls without the organisation of the
+// job, or with one for a job of none.
+Test(reward_runner,
+     targets_are_told_the_organisation_of_the_job,
+     .timeout = 20) {
+  for (const std::string organisation : {"hule930", ""}) {
+    ScriptedTarget target({Answer("200 OK", kSigned)});
+    RewardFixture fixture(target.endpoint(), organisation);
+    fixture.RunCalls(1);
+    const size_t field = target.request().find("Tenant: hule930\r\n");
+    cr_assert((field == std::string::npos) == organisation.empty(), "%s",
+              target.request().c_str());
+  }
+}
+
 Test(reward_runner,
      the_signature_of_a_success_becomes_the_score,
      .timeout = 20) {
--- a/tests/request/organisation_table_test.cc
+++ b/tests/request/organisation_table_test.cc
@@ -119,7 +119,7 @@
 }
 
 // Guards against the memory of a gateway with 96 MB: as messages, these
-// organisations take about 4 MB more.
+// organisations take about 5 MB more.
 Test(organisation_table, many_organisations_take_less_than_4_megabytes) {
   constexpr size_t kOrganisations = 10'000;
   constexpr size_t kMaxBytes = 4'000'000;
