--- a/src/limpethatch/version/usage/usage_ledger.cc
+++ b/src/limpethatch/version/usage/usage_ledger.cc
@@ -3,7 +3,6 @@
 namespace limpethatch {
 
 void UsageLedger::Apply(const wire::UsageRecord& record) {
-  ++revision_;
   for (const uint64_t number : record.settled()) {
     windows_.erase(number);
   }
--- a/src/limpethatch/version/usage/usage_ledger.h
+++ b/src/limpethatch/version/usage/usage_ledger.h
@@ -25,11 +25,8 @@
   const std::map<uint64_t, wire::UsageWindow>& windows() const {
     return windows_;
   }
-  // Increases with each applied command. Not part of the replicated state.
-  uint64_t revision() const { return revision_; }
 
  private:
-  uint64_t revision_ = 0;
   uint64_t next_window_ = 0;
   std::map<uint64_t, wire::UsageWindow> windows_;
 };
--- a/src/programs/control/usage_reporter.cc
+++ b/src/programs/control/usage_reporter.cc
@@ -91,7 +91,8 @@
   recorder_.Reset();
   queue_.Reset();
   next_claim_at_ = TimePoint();
-  next_record_at_ = TimePoint();
+  next_settled_at_ = TimePoint();
+  proposed_window_.reset();
   TrackHolding(std::nullopt);
 }
 
@@ -165,50 +166,58 @@
 
 void UsageReporter::Record(TimePoint now, const DutyLeadership& leadership) {
   const FleetLedger& ledger = host_.ledger();
-  if (now < next_record_at_ &&
-      ledger.usage().revision() == proposed_at_revision_) {
-    return;
-  }
   const WallTime wall_now = wall_clock_.Now();
-  wire::UsageRecord record =
-      recorder_
-          .Plan(ledger.usage(), ledger.configuration().organisations_size() > 0,
-                wall_now, now - leadership.since)
-          .value_or(wire::UsageRecord());
-  const int too_old = record.settled_size();
-  for (const uint64_t window : queue_.AcknowledgedIn(ledger.usage())) {
-    record.add_settled(window);
+  const std::optional<wire::UsageRecord> planned = recorder_.Plan(
+      ledger.usage(), ledger.configuration().organisations_size() > 0, wall_now,
+      now - leadership.since);
+  wire::UsageRecord settled;
+  if (planned) {
+    *settled.mutable_settled() = planned->settled();
   }
-  if (record.ByteSizeLong() == 0) {
-    return;
+  const int too_old = settled.settled_size();
+  for (const uint64_t window : queue_.AcknowledgedIn(ledger.usage())) {
+    settled.add_settled(window);
   }
-  next_record_at_ = now + kProposalTimeout;
-  proposed_at_revision_ = ledger.usage().revision();
-  wire::Command command;
-  *command.mutable_usage_record() = record;
-  const bool proposed = host_.propose(command);
-  if (proposed && !record.has_window() && record.first_window() == 0) {
+  if (!settled.settled().empty() && now >= next_settled_at_) {
+    next_settled_at_ = now + kProposalTimeout;
+    Propose(settled);
     Log(too_old > 0 ? LogLevel::kWarning : LogLevel::kDebug,
         "usage_windows_settled",
-        {{"windows", record.settled_size()}, {"unreported", too_old}});
+        {{"windows", settled.settled_size()}, {"unreported", too_old}});
+  }
+  if (!planned || (!planned->has_window() && planned->first_window() == 0)) {
     return;
   }
+  const bool begins = !planned->has_window();
   const uint64_t number =
-      record.has_window() ? record.window().number() : record.first_window();
-  Log(LogLevel::kInfo,
-      record.has_window() ? "usage_window_recorded" : "usage_windows_begin",
+      begins ? planned->first_window() : planned->window().number();
+  const std::pair window(number, begins);
+  if (proposed_window_ == window &&
+      now < window_proposed_at_ + kProposalTimeout) {
+    return;
+  }
+  proposed_window_ = window;
+  window_proposed_at_ = now;
+  wire::UsageRecord record = *planned;
+  record.clear_settled();
+  const bool proposed = Propose(record);
+  const Duration since_end =
+      wall_now - UsageWindowEnd(number, settings_.usage_window);
+  Log(LogLevel::kInfo, begins ? "usage_windows_begin" : "usage_window_recorded",
       {{"window", number},
-       {"next_window", ledger.usage().next_window()},
        {"organisations", record.window().counts_size()},
        {"requests", CountRequests(record.window())},
        {"gateways", recorder_.CountInstances(number)},
-       {"unreported", too_old},
-       {"after_end_ms",
-        ToMilliseconds(wall_now -
-                       UsageWindowEnd(number, settings_.usage_window))},
+       {"after_end_ms", ToMilliseconds(since_end)},
        {"outcome", proposed ? "proposed" : "not_proposed"}});
 }
 
+bool UsageReporter::Propose(const wire::UsageRecord& record) {
+  wire::Command command;
+  *command.mutable_usage_record() = record;
+  return host_.propose(command);
+}
+
 void UsageReporter::StartReport(TimePoint now) {
   TrackHolding(Token(now));
   if (calling_ || !holds_duty_ || !queue_.Next(host_.ledger().usage(), now)) {
--- a/src/programs/control/usage_reporter.h
+++ b/src/programs/control/usage_reporter.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "ledger.pb.h"
 #include "limpethatch/connection/http_client.h"
@@ -54,6 +55,7 @@
   std::optional<uint64_t> Token(TimePoint now);
   void Claim(TimePoint now, const DutyLeadership& leadership);
   void Record(TimePoint now, const DutyLeadership& leadership);
+  bool Propose(const wire::UsageRecord& record);
   void StartReport(TimePoint now);
   void Report(Yield yield);
   void TrackHolding(const std::optional<uint64_t>& token);
@@ -69,8 +71,10 @@
   UsageReportQueue queue_;
   // Proposals are repeated after these times if they have not been applied.
   TimePoint next_claim_at_;
-  TimePoint next_record_at_;
-  uint64_t proposed_at_revision_ = 0;  // Of the usage ledger.
+  TimePoint next_settled_at_;
+  // The window that was last proposed, and whether as the first one.
+  std::optional<std::pair<uint64_t, bool>> proposed_window_;
+  TimePoint window_proposed_at_;
   bool calling_ = false;
   bool holds_duty_ = false;
   uint64_t windows_reported_ = 0;
--- a/tests/control/fleet_fixture.h
+++ b/tests/control/fleet_fixture.h
@@ -19,6 +19,7 @@
 #include <future>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -35,7 +36,9 @@
  public:
   ControlInstance(const std::vector<Endpoint>& group,
                   const Endpoint& endpoint,
-                  const std::filesystem::path& folder) {
+                  const std::filesystem::path& folder,
+                  const std::optional<DutySettings>& duties = std::nullopt) {
+    settings_.duties = duties;
     settings_.process.id = endpoint.host;
     settings_.peers = endpoint;
     settings_.data_folder = folder / endpoint.host;
@@ -244,7 +247,8 @@
 // Three control instances, and as many gateways and targets as the test adds.
 class FleetFixture {
  public:
-  FleetFixture()
+  explicit FleetFixture(
+      const std::optional<DutySettings>& duties = std::nullopt)
       : folder_(std::filesystem::temp_directory_path() /
                 ("limpethatch-fleet-" + std::to_string(getpid()))) {
     std::filesystem::remove_all(folder_);
@@ -254,7 +258,7 @@
     }
     for (const Endpoint& endpoint : group_) {
       control_.push_back(
-          std::make_unique<ControlInstance>(group_, endpoint, folder_));
+          std::make_unique<ControlInstance>(group_, endpoint, folder_, duties));
     }
   }
   ~FleetFixture() {
@@ -280,7 +284,8 @@
 
   // Puts a configuration into force with a route "/l/" to the service "desk"
   // and a route "/j/" for batch jobs on the engines "coach".
-  void PutConfiguration(uint32_t max_attempts) {
+  void PutConfiguration(uint32_t max_attempts,
+                        const std::string& organisation = "") {
     wire::Envelope envelope;
     wire::ControlRequest& request = *envelope.mutable_request();
     request.set_from("operator");
@@ -290,6 +295,9 @@
                                                    ->mutable_configuration_put()
                                                    ->mutable_configuration();
     configuration.set_version(1);
+    if (!organisation.empty()) {
+      configuration.add_organisations()->set_name(organisation);
+    }
     configuration.add_services()->set_name("desk");
     wire::ServiceDeclaration& coach = *configuration.add_services();
     coach.set_name("coach");
--- a/tests/gateway/fleet_subscriber_test.cc
+++ b/tests/gateway/fleet_subscriber_test.cc
@@ -82,7 +82,9 @@
       timers,
       messenger,
       settings,
-      {[](auto&) {}, [](auto&) {}, [](auto&) {}, [](auto&) {}, [](auto&) {}}};
+      {[](auto&) {}, [](auto&) {}, [](auto&) {}, [](auto&) {}, [](auto&) {},
+       [this](Duration length) { usage_window = length; }}};
+  Duration usage_window{};
 
  private:
   uint64_t epoch_ = 100;
@@ -189,4 +191,18 @@
   cr_assert_not(fixture.HasTarget());
 }
 
+// Guards against gateways that do not count although the leader reports, and
+// against some that count for nobody.
+Test(fleet_subscriber, requests_are_counted_only_if_control_states_a_window) {
+  SubscriberFixture fixture;
+  const std::string host = fixture.CurrentHost();
+  cr_assert(fixture.usage_window == Duration::zero());
+  wire::FleetNews news;
+  news.set_from(host + ":7000");
+  news.set_quorum_contact(true);
+  news.set_usage_window_ms(5000);
+  fixture.subscriber.OnFleetNews(news);
+  cr_assert(fixture.usage_window == std::chrono::seconds(5));
+}
+
 }  // namespace limpethatch
