--- a/src/limpethatch/version/usage/usage_recorder.cc
+++ b/src/limpethatch/version/usage/usage_recorder.cc
@@ -49,6 +49,7 @@
                                                      bool organisations,
                                                      WallTime now,
                                                      Duration leading_for) {
+  RemoveOldWindows(now);
   wire::UsageRecord record;
   const uint64_t current = UsageWindowAt(now, options_.window);
   if (ledger.next_window() == 0) {
