--- a/tests/control/fleet_fixture.h
+++ b/tests/control/fleet_fixture.h
@@ -19,6 +19,7 @@
 #include <future>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -36,7 +37,9 @@
  public:
   ControlInstance(const std::vector<Endpoint>& group,
                   const Endpoint& endpoint,
-                  const std::filesystem::path& folder) {
+                  const std::filesystem::path& folder,
+                  const std::optional<DutySettings>& duties = std::nullopt) {
+    settings_.duties = duties;
     settings_.process.id = endpoint.host;
     settings_.peers = endpoint;
     settings_.data_folder = folder / endpoint.host;
@@ -250,7 +253,8 @@
 // Three control instances, and as many gateways and targets as the test adds.
 class FleetFixture {
  public:
-  FleetFixture()
+  explicit FleetFixture(
+      const std::optional<DutySettings>& duties = std::nullopt)
       : folder_(std::filesystem::temp_directory_path() /
                 ("limpethatch-fleet-" + std::to_string(getpid()))) {
     std::filesystem::remove_all(folder_);
@@ -260,7 +264,7 @@
     }
     for (const Endpoint& endpoint : group_) {
       control_.push_back(
-          std::make_unique<ControlInstance>(group_, endpoint, folder_));
+          std::make_unique<ControlInstance>(group_, endpoint, folder_, duties));
     }
   }
   ~FleetFixture() {
