--- a/src/limpethatch/request/router.cc
+++ b/src/limpethatch/request/router.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "limpethatch/request/internal/rollout_choice.h"
+#include "limpethatch/request/targets/estimate_choice.h"
 
 namespace limpethatch {
 namespace {
@@ -242,6 +243,9 @@
           ProbeDue(*service, request, options_.probe_interval)) {
     return *probe;
   }
+  if (request.prefix_hash == 0 && ReportsLoad(*service)) {
+    return ChooseByEstimate(*service, request, options_.zone);
+  }
   if (const auto* unmeasured = FindUnmeasured(*service, request)) {
     return *unmeasured;
   }
--- a/src/limpethatch/request/router.h
+++ b/src/limpethatch/request/router.h
@@ -74,7 +74,8 @@
 // Power of two choices on this instance's outstanding calls, corrected by the
 // delayed load reports of targets and weighted by the observed slowness of each
 // target. Prefers the own zone, applies prefix affinity with bounded load, and
-// ejects and probes outliers.
+// ejects and probes outliers. Targets that report four load figures are chosen
+// by ChooseByEstimate.
 class Router {
  public:
   explicit Router(RouterOptions options);
--- a/src/limpethatch/request/target.cc
+++ b/src/limpethatch/request/target.cc
@@ -8,20 +8,22 @@
 namespace limpethatch {
 namespace {
 
-std::shared_ptr<TargetStats> StatsFor(const Target& target,
-                                      const TargetTable* previous) {
-  if (previous != nullptr) {
-    if (const RoutedTarget* known = previous->FindTarget(target.id);
-        known != nullptr && known->target.incarnation == target.incarnation) {
-      return known->stats;
-    }
-  }
-  return std::make_shared<TargetStats>();
+// The same incarnation of the target in the previous table; null if none.
+const RoutedTarget* FindPrevious(const Target& target,
+                                 const TargetTable* previous) {
+  const RoutedTarget* known =
+      previous == nullptr ? nullptr : previous->FindTarget(target.id);
+  return known != nullptr && known->target.incarnation == target.incarnation
+             ? known
+             : nullptr;
 }
 
 RoutedTargetPtr MakeRouted(Target target, const TargetTable* previous) {
   auto routed = std::make_shared<RoutedTarget>();
-  routed->stats = StatsFor(target, previous);
+  const RoutedTarget* known = FindPrevious(target, previous);
+  routed->stats = known ? known->stats : std::make_shared<TargetStats>();
+  routed->estimate =
+      known ? known->estimate : std::make_shared<TargetEstimate>();
   routed->id_hash = ContentDigest(target.id);
   const TargetLoad& load = target.load;
   const double reported = load.running + load.waiting;
--- a/src/limpethatch/request/target.h
+++ b/src/limpethatch/request/target.h
@@ -13,6 +13,7 @@
 #include "limpethatch/process/endpoint.h"
 #include "limpethatch/request/target_group.h"
 #include "limpethatch/request/target_stats.h"
+#include "limpethatch/request/targets/target_estimate.h"
 
 namespace limpethatch {
 
@@ -44,6 +45,9 @@
 struct RoutedTarget {
   Target target;
   std::shared_ptr<TargetStats> stats;  // Shared by successive tables.
+  // Shared by successive tables. Only single-threaded processes update it; in
+  // others it never reports a load.
+  std::shared_ptr<TargetEstimate> estimate;
   uint64_t id_hash = 0;
   // Work of other instances on the target when the load was measured.
   double reported_other_work = 0;
--- a/src/limpethatch/request/target_group.cc
+++ b/src/limpethatch/request/target_group.cc
@@ -132,8 +132,11 @@
                                stats.samples(request_class) >= kMinSamples
                            ? own / typical
                            : 1.0;
-  return ratio *
-         FailureFactor(stats.failure_share() -
+  return ratio * FailurePenalty(stats);
+}
+
+double TargetGroup::FailurePenalty(const TargetStats& stats) const {
+  return FailureFactor(stats.failure_share() -
                        typical_failure_share_.load(std::memory_order_relaxed));
 }
 
--- a/src/limpethatch/request/target_group.h
+++ b/src/limpethatch/request/target_group.h
@@ -33,6 +33,9 @@
   // of theirs counted as slowness. At least 1, which is normal.
   double Slowness(const TargetStats& stats, RequestClass request_class) const;
 
+  // The part of it that is due to failures.
+  double FailurePenalty(const TargetStats& stats) const;
+
   // True if a target is ejected; checked before searching for one to probe.
   bool any_ejected() const { return ejected_.load(std::memory_order_relaxed); }
   // Whether a request may be used as a probe now. Rare enough that probes do
--- a/src/programs/gateway/live_attempt.cc
+++ b/src/programs/gateway/live_attempt.cc
@@ -6,6 +6,7 @@
 #include "limpethatch/connection/http_error.h"
 #include "limpethatch/connection/relay_result.h"
 #include "limpethatch/process/log.h"
+#include "limpethatch/request/targets/estimate_choice.h"
 #include "platform/call_codec.h"
 
 namespace limpethatch {
@@ -106,16 +107,44 @@
   return std::nullopt;
 }
 
+// Updates the target's estimate with the load that its answer states.
+void RecordLoad(LiveCallContext& context,
+                const RoutedTarget& routed,
+                const platform::TargetAnswerHeaders& headers) {
+  if (headers.load_malformed) {
+    context.metrics.CountImplausibleLoad();
+  } else if (!headers.load) {
+    // Refusals and errors may lack the figures.
+    if (!headers.not_run && headers.is_signed) {
+      routed.estimate->OnNoLoad();
+    }
+  } else if (!routed.estimate->OnLoad(*headers.load, Clock::now())) {
+    context.metrics.CountImplausibleLoad();
+  }
+}
+
+// Records the end of a call in the target's estimate.
+void RecordEnd(const RoutedTarget& routed, bool answered, TimePoint sent_at) {
+  const TimePoint now = Clock::now();
+  if (answered) {
+    routed.estimate->OnAnswered(now - sent_at, now);
+  } else {
+    routed.estimate->OnAbandoned(now - sent_at, now);
+  }
+}
+
 std::optional<Failure> ReadTargetAnswer(Yield yield,
                                         LiveCallContext& context,
                                         LiveCallState& state,
-                                        const Target& target,
+                                        const RoutedTarget& routed,
                                         HttpStream& stream) {
+  const Target& target = routed.target;
   const platform::TargetAnswerHeaders answer_headers =
       platform::DecodeTargetAnswerHeaders(stream.status(), stream.headers(),
                                           state.attempt_id);
   if (!answer_headers.misdirected) {
     context.permits.OnAnswer(target, answer_headers.rate_limit);
+    RecordLoad(context, routed, answer_headers);
   }
   if (answer_headers.leaving) {
     context.leaving.OnLeaving(target.id, target.incarnation);
@@ -210,6 +239,7 @@
   const Target& target = routed.target;
   const TimePoint started_at = Clock::now();
   CallTicket ticket(routed, RequestClass::kLookup, started_at);
+  RecordSent(context.targets.Find(target.service), routed, started_at);
   HttpStreamOutcome outcome =
       context.client.Open(yield, target.address, request, options);
   // A call that is over ends its other attempts, which may have had no time.
@@ -222,8 +252,9 @@
   }
   const std::optional<Failure> failure =
       outcome.stream
-          ? ReadTargetAnswer(yield, context, state, target, *outcome.stream)
+          ? ReadTargetAnswer(yield, context, state, routed, *outcome.stream)
           : ConnectionFailure(outcome.error, outcome.progress);
+  RecordEnd(routed, !failure, started_at);
   const bool may_have_run =
       failure && failure->result == AttemptResult::kUnknown && failure->error;
   if (state.finished) {
