--- a/src/limpethatch/request/targets/estimate_choice.cc
+++ b/src/limpethatch/request/targets/estimate_choice.cc
@@ -31,18 +31,20 @@
   double cost_s = 0;
 };
 
-// Mean over the targets of which own calls tell.
-Duration TypicalWork(const ServiceTargets& service) {
-  Duration sum{};
-  int known = 0;
+// Mean over the targets, weighted by how much the history of each still counts.
+Duration TypicalWork(const ServiceTargets& service, TimePoint now) {
+  double sum_s = 0;
+  double weights = 0;
   for (const RoutedTargetPtr& routed : service.all) {
-    const Duration work = routed->estimate->typical_work();
-    if (work > Duration::zero()) {
-      sum += work;
-      ++known;
-    }
+    const double weight = routed->estimate->HistoryWeight(now);
+    sum_s +=
+        weight *
+        std::chrono::duration<double>(routed->estimate->typical_work()).count();
+    weights += weight;
   }
-  return known == 0 ? sum : sum / known;
+  return weights == 0 ? Duration::zero()
+                      : std::chrono::duration_cast<Duration>(
+                            std::chrono::duration<double>(sum_s / weights));
 }
 
 // Keeps the candidates that satisfy the predicate, unless none does.
@@ -93,7 +95,7 @@
 RoutedTargetPtr ChooseByEstimate(const ServiceTargets& service,
                                  const RouteRequest& request,
                                  std::string_view own_zone) {
-  const Duration typical = TypicalWork(service);
+  const Duration typical = TypicalWork(service, request.now);
   std::vector<Candidate> candidates;
   candidates.reserve(service.all.size());
   for (const RoutedTargetPtr& routed : service.all) {
--- a/src/limpethatch/request/targets/target_estimate.cc
+++ b/src/limpethatch/request/targets/target_estimate.cc
@@ -15,16 +15,19 @@
 constexpr Duration kPaceLifetime = milliseconds(300);
 // Own calls tell of the speed of a machine, which changes rarely, but a target
 // that is not used must be tried again.
-constexpr Duration kHistoryLifetime = std::chrono::seconds(60);
+constexpr Duration kHistoryLifetime = std::chrono::seconds(120);
 // A report says that the target is full, whatever the history, for this long.
 constexpr Duration kFreshReport = milliseconds(100);
 constexpr double kMinGain = 0.1;
 // Weight of the service's typical work, in answers of the target.
-constexpr double kPriorAnswers = 2;
+constexpr double kPriorAnswers = 1;
+// A target of which nothing is known any more must look better than those in
+// use, or it would not be tried again.
+constexpr double kPriorOptimism = 0.8;
 // One call counts as at most this multiple of the known work, so that a stall
 // of a connection does not decide the estimate.
 constexpr double kMaxWorkRatio = 4;
-constexpr size_t kMinAnswersToLimit = 3;
+constexpr double kMinAnswersToLimit = 3;
 
 double Seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -40,8 +43,8 @@
 }
 
 // Weighs all values the same until they are many enough for a moving average.
-double Gain(size_t count) {
-  return std::max(kMinGain, 1.0 / static_cast<double>(count));
+double Gain(double count) {
+  return std::max(kMinGain, 1 / count);
 }
 
 }  // namespace
@@ -59,7 +62,7 @@
   last_other_load_ =
       std::max(0.0, static_cast<double>(last_.running) + last_.waiting -
                         static_cast<double>(sent_at_.size()));
-  const double gain = Gain(reports_);
+  const double gain = Gain(static_cast<double>(reports_));
   usual_other_load_ += gain * (last_other_load_ - usual_other_load_);
   usual_pace_ += gain * (last_.pace - usual_pace_);
   return last_ == report;
@@ -85,7 +88,9 @@
   if (answers_ >= kMinAnswersToLimit) {
     work_s = std::min(work_s, kMaxWorkRatio * work_s_);
   }
-  ++answers_;
+  // Old answers count less, or a target that was slow would stay so after an
+  // answer that shows the contrary.
+  answers_ = answers_ * HistoryWeight(now) + 1;
   work_s_ += Gain(answers_) * (work_s - work_s_);
   answered_at_ = now;
 }
@@ -120,10 +125,10 @@
 
 TargetForecast TargetEstimate::Estimate(Duration service_work,
                                         TimePoint now) const {
-  const double own_answers = static_cast<double>(answers_) * HistoryWeight(now);
-  const double prior = answers_ > 0 && service_work == Duration::zero()
+  const double own_answers = answers_ * HistoryWeight(now);
+  const double prior = service_work == Duration::zero()
                            ? work_s_
-                           : Seconds(service_work);
+                           : kPriorOptimism * Seconds(service_work);
   const double work_s = (own_answers * work_s_ + kPriorAnswers * prior) /
                         (own_answers + kPriorAnswers);
   const double load = Load(now);
--- a/src/limpethatch/request/targets/target_estimate.h
+++ b/src/limpethatch/request/targets/target_estimate.h
@@ -40,6 +40,8 @@
   // `service_work` is the typical work over the targets of the service, used
   // while little is known of this one.
   TargetForecast Estimate(Duration service_work, TimePoint now) const;
+  // How much the history of own calls still counts, 0 to 1.
+  double HistoryWeight(TimePoint now) const;
   // Time since a call began or ended there.
   Duration IdleTime(TimePoint now) const { return now - used_at_; }
 
@@ -51,8 +53,6 @@
  private:
   void AddWork(Duration latency, TimePoint now);
   void RemoveOutstanding(TimePoint sent_at);
-  // How much the history of own calls still counts, 0 to 1.
-  double HistoryWeight(TimePoint now) const;
   // Requests there now, of all instances, without the one to be sent.
   double Load(TimePoint now) const;
   double Pace(TimePoint now) const;
@@ -65,8 +65,8 @@
   double last_other_load_ = 0;   // Of other instances, by the last report.
   double usual_other_load_ = 0;  // Moving averages over reports.
   double usual_pace_ = 1;
-  size_t answers_ = 0;
-  double work_s_ = 0;  // Moving average over calls, at the usual pace.
+  double answers_ = 0;  // Weighted by how much each still counts.
+  double work_s_ = 0;   // Moving average over calls, at the usual pace.
   TimePoint answered_at_;
   TimePoint used_at_;
   double share_credit_ = 0;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -303,6 +303,32 @@
   cr_assert(!DecodeTargetAnswerHeaders(503, {}, "mine").not_run);
 }
 
+// Guards against a load that is misread, or whose faults are not told.
+Test(call_codec, a_load_has_four_figures_or_counts_as_malformed) {
+  const auto decode = [](const char* text) {
+    HttpHeaders headers;
+    headers.Set("Server-Load", text);
+    return DecodeTargetAnswerHeaders(200, headers, "mine");
+  };
+  const auto whole = decode("2, 1,6,137 ");
+  cr_assert(whole.load && !whole.load_malformed);
+  cr_assert(*whole.load ==
+            (LoadReport{.running = 2, .waiting = 1, .slots = 6, .pace = 1.37}));
+  cr_assert(whole.running == 2U);
+  const auto huge = decode("99999999999999999999,0,6,100");
+  cr_assert(huge.load && huge.load->running == UINT32_MAX);
+  for (const char* text : {"2,1,6", "2,1", "2", "", " "}) {
+    const auto less = decode(text);
+    cr_assert(!less.load && !less.load_malformed, "%s", text);
+  }
+  for (const char* text :
+       {"2,1,6,", "2,1,6,x", ",,,", "-1,0,6,100", "2,1,6,100,3", "2,1,6,1e2",
+        "2,1,6,99.5", "2;1;6;100", "2,1,6,100x", ",1,6,100", "nan,0,6,100"}) {
+    const auto wrong = decode(text);
+    cr_assert(!wrong.load && wrong.load_malformed, "%s", text);
+  }
+}
+
 Test(engine_codec, events_are_parsed_across_any_chunk_boundary) {
   const std::string stream =
       "id: 1\ndata: one\n\nweight-versions: 7\nid: 2\ndata: two\n\n"
--- a/tests/request/uneven_model.h
+++ b/tests/request/uneven_model.h
@@ -53,9 +53,9 @@
     // Mean of 25 ms: half constant, half exponential.
     std::exponential_distribution<double> variable_work(1 / 0.0125);
     for (double at = gap(random); at < seconds; at += gap(random)) {
-      pattern.requests.push_back(
-          {start + OfSeconds(at), random() % kUnevenGateways,
-           OfSeconds(0.0125 + variable_work(random))});
+      pattern.requests.push_back({start + OfSeconds(at),
+                                  random() % kUnevenGateways,
+                                  OfSeconds(0.0125 + variable_work(random))});
     }
     std::exponential_distribution<double> calm(
         kSlowShare / ((1 - kSlowShare) * InSeconds(kSlowTime)));
@@ -165,9 +165,9 @@
 struct UnevenResult {
   Duration p50{};
   Duration p99{};
-  double late_share = 0;         // Answered after the objective of 150 ms.
-  double busiest_to_mean = 0;    // Of targets, in work time.
-  double busiest_share = 0;      // Of requests.
+  double late_share = 0;       // Answered after the objective of 150 ms.
+  double busiest_to_mean = 0;  // Of targets, in work time.
+  double busiest_share = 0;    // Of requests.
 };
 
 inline UnevenResult RunUneven(const UnevenPattern& pattern,
@@ -187,8 +187,8 @@
   };
   // One way, within a zone or to another.
   const auto link_time = [](size_t gateway, size_t target) -> Duration {
-    return std::chrono::microseconds(
-        gateway % kUnevenTargets == target ? 100 : 900);
+    return std::chrono::microseconds(gateway % kUnevenTargets == target ? 100
+                                                                        : 900);
   };
   std::vector<UnevenTarget> targets;
   for (size_t index = 0; index < kUnevenTargets; ++index) {
@@ -208,13 +208,12 @@
       const TimePoint end = targets[target].Add(request.work, arrived);
       schedule(end, [&, gateway, target, link, now](TimePoint ended) {
         const LoadReport report = targets[target].Report(ended);
-        schedule(ended + link,
-                 [&, gateway, target, report, now](TimePoint answered) {
-                   policy.on_load(gateway, target, report, answered);
-                   policy.on_answered(gateway, target, answered - now,
-                                      answered);
-                   latencies.push_back(answered - request.sent);
-                 });
+        schedule(ended + link, [&, gateway, target, report,
+                                now](TimePoint answered) {
+          policy.on_load(gateway, target, report, answered);
+          policy.on_answered(gateway, target, answered - now, answered);
+          latencies.push_back(answered - request.sent);
+        });
       });
     });
   };
@@ -239,9 +238,8 @@
           });
         });
       }
-      schedule(now + 2 * slowest, [&, probed](TimePoint known) {
-        send(request, probed, known);
-      });
+      schedule(now + 2 * slowest,
+               [&, probed](TimePoint known) { send(request, probed, known); });
     });
   }
   while (!events.empty()) {
--- a/tests/request/uneven_policies.h
+++ b/tests/request/uneven_policies.h
@@ -45,9 +45,10 @@
     if (from.empty()) {
       from = {0, 1, 2};
     }
-    std::rotate(from.begin(),
-                from.begin() + static_cast<std::ptrdiff_t>(random % from.size()),
-                from.end());
+    std::rotate(
+        from.begin(),
+        from.begin() + static_cast<std::ptrdiff_t>(random % from.size()),
+        from.end());
     const size_t best = *std::min_element(
         from.begin(), from.end(), [&](size_t left, size_t right) {
           return rank(known, left, now) < rank(known, right, now);
@@ -83,8 +84,8 @@
 
 inline void ObservePeak(BaselineView& view, double latency_s, TimePoint now) {
   const double weight = std::exp(-InSeconds(now - view.changed) / 10);
-  view.latency_s = std::max(
-      latency_s, weight * view.latency_s + (1 - weight) * latency_s);
+  view.latency_s =
+      std::max(latency_s, weight * view.latency_s + (1 - weight) * latency_s);
   view.changed = now;
 }
 
@@ -99,11 +100,9 @@
 }
 
 inline UnevenPolicy MakeLeastOutstanding() {
-  return MakeBaseline(
-      [](const BaselineState::Gateway& known, size_t target, TimePoint) {
-        return known.views[target].outstanding;
-      },
-      ObserveMean);
+  return MakeBaseline([](const BaselineState::Gateway& known, size_t target,
+                         TimePoint) { return known.views[target].outstanding; },
+                      ObserveMean);
 }
 
 inline UnevenPolicy MakePeakLatency() {
@@ -174,7 +173,8 @@
     request.excluded = excluded;
     request.random = random;
     request.now = now;
-    const RoutedTargetPtr chosen = state->routers[gateway].Choose(table, request);
+    const RoutedTargetPtr chosen =
+        state->routers[gateway].Choose(table, request);
     const size_t target = std::stoul(chosen->target.id);
     RecordSent(table.Find("service"), *chosen, now);
     state->tickets[gateway].emplace_back(
