--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -960,6 +960,66 @@
   }
 }
 
+// Guards against requests that wait at a full target while another is free.
+Test(gateway, a_target_that_says_it_is_full_gets_few_requests) {
+  const auto make_handler = [](std::string load) {
+    return [load](const HttpRequest& request) {
+      HttpResponse response = SignedAnswer(request, kAttemptId);
+      response.headers.Set("Server-Load", load);
+      return response;
+    };
+  };
+  FakeTarget full_target(make_handler("6,3,6,100"));
+  FakeTarget free_target(make_handler("0,0,6,100"));
+  GatewayFixture fixture;
+  fixture.control->AddTarget("i-1", full_target.endpoint());
+  fixture.control->AddTarget("i-2", free_target.endpoint());
+  fixture.control->Start();
+  fixture.Start();
+  cr_assert(fixture.WaitUntilReady(true));
+  for (int i = 0; i < 60; ++i) {
+    cr_assert(StatusOf(fixture.Call(Post("/l/x"))) == "200");
+  }
+  // A tenth of the requests goes there in any case, so that no target's figures
+  // draw all of them.
+  cr_assert(full_target.calls <= 12, "%d", full_target.calls.load());
+}
+
+// Guards against a target whose wrong figures draw all requests, stop requests
+// or go unnoticed.
+Test(gateway, wrong_load_figures_are_counted_and_draw_a_bounded_share) {
+  for (const char* load : {"0,0,4000000000,0", "x,,,", "0,0,6,100,"}) {
+    FakeTarget wrong_target([load](const HttpRequest& request) {
+      HttpResponse response = SignedAnswer(request, kAttemptId);
+      response.headers.Set("Server-Load", load);
+      return response;
+    });
+    FakeTarget right_target([](const HttpRequest& request) {
+      HttpResponse response = SignedAnswer(request, kAttemptId);
+      response.headers.Set("Server-Load", "5,0,6,250");
+      return response;
+    });
+    GatewayFixture fixture;
+    fixture.control->AddTarget("i-1", wrong_target.endpoint());
+    fixture.control->AddTarget("i-2", right_target.endpoint());
+    fixture.control->Start();
+    fixture.Start();
+    cr_assert(fixture.WaitUntilReady(true));
+    for (int i = 0; i < 100; ++i) {
+      cr_assert(StatusOf(fixture.Call(Post("/l/x"))) == "200");
+    }
+    cr_assert(wrong_target.calls <= 95, "%s: %d", load,
+              wrong_target.calls.load());
+    const std::string metrics = Exchange(
+        fixture.settings.metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+    const std::string counted = "limpethatch_implausible_loads_total " +
+                                std::to_string(wrong_target.calls.load()) +
+                                "\n";
+    cr_assert(metrics.find(counted) != std::string::npos, "%s",
+              metrics.c_str());
+  }
+}
+
 namespace {
 
 // A target that sends `answer` and closes each connection.
