--- a/src/limpethatch/request/targets/target_estimate.h
+++ b/src/limpethatch/request/targets/target_estimate.h
@@ -42,6 +42,8 @@
   TargetForecast Estimate(Duration service_work, TimePoint now) const;
   // How much the history of own calls still counts, 0 to 1.
   double HistoryWeight(TimePoint now) const;
+  // Time since the last report.
+  Duration ReportAge(TimePoint now) const { return now - reported_at_; }
   // Time since a call began or ended there.
   Duration IdleTime(TimePoint now) const { return now - used_at_; }
 
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -127,6 +127,16 @@
           fleet_subscriber_.targets(),
           random_,
           [this] { fleet_subscriber_.OfferRelay(MakeRelayOffer()); }),
+      target_probes_(io_,
+                     target_client_,
+                     metrics_,
+                     {.enabled = settings.target_probes},
+                     [this](std::string_view service) {
+                       const RouteTablePtr table = fleet_subscriber_.routes();
+                       const auto* declared =
+                           table ? table->Service(service) : nullptr;
+                       return declared ? declared->health_path() : "";
+                     }),
       live_call_context_{io_,
                          target_client_,
                          fleet_subscriber_.targets(),
@@ -138,7 +148,8 @@
                          leaving_targets_,
                          suspect_requests_,
                          service_reach_,
-                         relay_choice_},
+                         relay_choice_,
+                         target_probes_},
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       settings_watcher_(timers_, settings_path_, [this] { Reload(); }),
       event_loop_monitor_(timers_, kEventLoopCheckPeriod) {}
--- a/src/programs/gateway/gateway.h
+++ b/src/programs/gateway/gateway.h
@@ -25,6 +25,7 @@
 #include "programs/gateway/stream_directory.h"
 #include "programs/gateway/suspect_requests.h"
 #include "programs/gateway/target_permits.h"
+#include "programs/gateway/target_probes.h"
 
 namespace limpethatch {
 
@@ -98,6 +99,7 @@
   std::mt19937_64 random_;
   ServiceReach service_reach_;
   GatewayMetrics metrics_;
+  TargetProbes target_probes_;
   LiveCallContext live_call_context_;
   boost::asio::signal_set signals_;
   SettingsWatcher settings_watcher_;
--- a/src/programs/gateway/gateway_metrics.cc
+++ b/src/programs/gateway/gateway_metrics.cc
@@ -36,6 +36,9 @@
   text.Single("limpethatch_permits_denied_total", MetricType::kCounter,
               "Requests not sent to a target because of its rate limit.",
               static_cast<double>(permits_denied_));
+  text.Single("limpethatch_target_probes_total", MetricType::kCounter,
+              "Requests to targets for their load.",
+              static_cast<double>(target_probes_));
   text.Single("limpethatch_implausible_loads_total", MetricType::kCounter,
               "Loads stated by targets that were malformed or bounded.",
               static_cast<double>(implausible_loads_));
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -23,6 +23,7 @@
   void CountCallForGateway() { ++calls_for_gateways_; }
   // A permit for a target with a rate limit was denied or not to be had.
   void CountPermitDenied() { ++permits_denied_; }
+  void CountTargetProbe() { ++target_probes_; }
   // A target stated a load that is malformed or out of bounds.
   void CountImplausibleLoad() { ++implausible_loads_; }
   void CountRefusal(const std::string& reason) { ++refusals_[reason]; }
@@ -44,6 +45,7 @@
   uint64_t calls_for_gateways_ = 0;
   uint64_t permits_denied_ = 0;
   uint64_t implausible_loads_ = 0;
+  uint64_t target_probes_ = 0;
 };
 
 }  // namespace limpethatch
--- a/src/programs/gateway/gateway_settings.h
+++ b/src/programs/gateway/gateway_settings.h
@@ -25,6 +25,9 @@
   // New connections are accepted for this long after the readiness check starts
   // to fail, as the platform still sends some.
   Duration accept_time = std::chrono::milliseconds(2300);
+  // Whether targets are asked for their load before a request if what is known
+  // of it is old.
+  bool target_probes = false;
 
   void ReadFrom(JsonReader& reader);
   // Endpoints at which the control instances among `seeds` receive messages.
--- a/src/programs/gateway/live_call.cc
+++ b/src/programs/gateway/live_call.cc
@@ -81,6 +81,8 @@
       software_version_ = context_.streams.Find(
           exchange_.yield(), service_, caller_headers_.first_attempt_id);
     }
+    unprobed_ = context_.probes.Probe(
+        exchange_.yield(), context_.targets.Find(service_), context_.random());
     while (true) {
       if (state_->answer) {
         RespondWith(*state_->answer);
@@ -181,6 +183,14 @@
     request.excluded = tried;
     request.random = context_.random();
     request.now = now;
+    if (state_->attempts.empty() && !unprobed_.empty()) {
+      unprobed_.insert(unprobed_.end(), tried.begin(), tried.end());
+      request.excluded = unprobed_;
+      if (auto probed = context_.router.Choose(context_.targets, request)) {
+        return probed;
+      }
+      request.excluded = tried;
+    }
     return context_.router.Choose(context_.targets, request);
   }
 
@@ -350,6 +360,8 @@
   std::optional<PermittedTarget> permitted_;
   // Targets with a rate limit for which a permit was requested.
   std::vector<std::string> rate_limited_;
+  // Targets that the first attempt avoids, as they answered no probe.
+  std::vector<std::string> unprobed_;
   std::vector<Endpoint> relays_tried_;
   // The shortest wait of the permits that were denied.
   std::optional<Duration> permit_wait_;
--- a/src/programs/gateway/live_call_context.h
+++ b/src/programs/gateway/live_call_context.h
@@ -15,6 +15,7 @@
 #include "programs/gateway/stream_directory.h"
 #include "programs/gateway/suspect_requests.h"
 #include "programs/gateway/target_permits.h"
+#include "programs/gateway/target_probes.h"
 
 namespace limpethatch {
 
@@ -32,6 +33,7 @@
   SuspectRequests& suspects;
   ServiceReach& reach;
   RelayChoice& relays;
+  TargetProbes& probes;
   // The process ends: calls that still wait for targets are answered now.
   bool ending = false;
   // Of the bodies of answers that are being read.
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -164,7 +164,9 @@
     }
     wire::FleetConfiguration& configuration = *news.mutable_configuration();
     configuration.set_version(3);
-    configuration.add_services()->set_name("desk");
+    wire::ServiceDeclaration& service = *configuration.add_services();
+    service.set_name("desk");
+    service.set_health_path("/health");
     wire::Route& route = *configuration.add_routes();
     route.set_name("lookup");
     route.set_host("shop.example");
@@ -985,6 +987,36 @@
   cr_assert(full_target.calls <= 12, "%d", full_target.calls.load());
 }
 
+// Guards against probes that are sent although they are not enabled, or the
+// reverse, and against requests that are lost by them.
+Test(gateway, targets_are_probed_only_if_the_settings_say_so) {
+  for (const bool enabled : {false, true}) {
+    std::atomic<int> probes{0};
+    const auto handler = [&](const HttpRequest& request) {
+      HttpResponse response = SignedAnswer(request, kAttemptId);
+      probes += request.path == "/health" ? 1 : 0;
+      response.headers.Set("Server-Load", "0,0,6,100");
+      return response;
+    };
+    FakeTarget first(handler);
+    FakeTarget second(handler);
+    GatewayFixture fixture;
+    fixture.settings.target_probes = enabled;
+    fixture.control->AddTarget("i-1", first.endpoint());
+    fixture.control->AddTarget("i-2", second.endpoint());
+    fixture.control->Start();
+    fixture.Start();
+    cr_assert(fixture.WaitUntilReady(true));
+    for (int i = 0; i < 10; ++i) {
+      cr_assert(StatusOf(fixture.Call(Post("/l/x"))) == "200");
+      // Longer than figures are used without a probe.
+      std::this_thread::sleep_for(milliseconds(60));
+    }
+    cr_assert((probes > 0) == enabled, "%d", probes.load());
+    cr_assert(first.calls + second.calls - probes == 10);
+  }
+}
+
 // Guards against a target whose wrong figures draw all requests, stop requests
 // or go unnoticed.
 Test(gateway, wrong_load_figures_are_counted_and_draw_a_bounded_share) {
