Use target estimates only where a process keeps them

Entry instances never update the estimates, but checked those of all targets of a service for each request. The router now has an option for it, which gateways set. An error answer without figures no longer counts as an answer of a target that does not state its load.

--- a/src/limpethatch/request/router.cc
+++ b/src/limpethatch/request/router.cc
@@ -243,7 +243,8 @@
           ProbeDue(*service, request, options_.probe_interval)) {
     return *probe;
   }
-  if (request.prefix_hash == 0 && ReportsLoad(*service)) {
+  if (options_.use_estimates && request.prefix_hash == 0 &&
+      ReportsLoad(*service)) {
     return ChooseByEstimate(*service, request, options_.zone);
   }
   if (const auto* unmeasured = FindUnmeasured(*service, request)) {
--- a/src/limpethatch/request/router.h
+++ b/src/limpethatch/request/router.h
@@ -67,6 +67,9 @@
   // A prefix-affine target is chosen while its work per slot is at most this
   // multiple of the mean, plus one request.
   double affinity_bound = 1.25;
+  // Whether ChooseByEstimate is used for targets that report four load figures.
+  // Only for single-threaded processes, which update the estimates.
+  bool use_estimates = false;
   // Minimum time between two probes of an ejected target.
   Duration probe_interval = std::chrono::seconds(1);
 };
@@ -74,8 +77,7 @@
 // Power of two choices on this instance's outstanding calls, corrected by the
 // delayed load reports of targets and weighted by the observed slowness of each
 // target. Prefers the own zone, applies prefix affinity with bounded load, and
-// ejects and probes outliers. Targets that report four load figures are chosen
-// by ChooseByEstimate.
+// ejects and probes outliers.
 class Router {
  public:
   explicit Router(RouterOptions options);
--- a/src/limpethatch/request/target.h
+++ b/src/limpethatch/request/target.h
@@ -45,8 +45,7 @@
 struct RoutedTarget {
   Target target;
   std::shared_ptr<TargetStats> stats;  // Shared by successive tables.
-  // Shared by successive tables. Only single-threaded processes update it; in
-  // others it never reports a load.
+  // Shared by successive tables. Used only with RouterOptions::use_estimates.
   std::shared_ptr<TargetEstimate> estimate;
   uint64_t id_hash = 0;
   // Work of other instances on the target when the load was measured.
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -120,7 +120,8 @@
           io_,
           HttpServerLimits{},
           [this](HttpExchange& exchange) { ServeMetrics(exchange); }),
-      router_(RouterOptions{.zone = settings.process.zone}),
+      router_(
+          RouterOptions{.zone = settings.process.zone, .use_estimates = true}),
       random_(std::random_device()()),
       service_reach_(
           io_,
--- a/src/programs/gateway/live_attempt.cc
+++ b/src/programs/gateway/live_attempt.cc
@@ -110,16 +110,14 @@
 // Updates the target's estimate with the load that its answer states.
 void RecordLoad(LiveCallContext& context,
                 const RoutedTarget& routed,
-                const platform::TargetAnswerHeaders& headers) {
-  if (headers.load_malformed) {
+                const platform::TargetAnswerHeaders& headers,
+                int status) {
+  if (headers.load_malformed ||
+      (headers.load && !routed.estimate->OnLoad(*headers.load, Clock::now()))) {
     context.metrics.CountImplausibleLoad();
-  } else if (!headers.load) {
+  } else if (!headers.load && headers.is_signed && status < kFirstClientError) {
     // Refusals and errors may lack the figures.
-    if (!headers.not_run && headers.is_signed) {
-      routed.estimate->OnNoLoad();
-    }
-  } else if (!routed.estimate->OnLoad(*headers.load, Clock::now())) {
-    context.metrics.CountImplausibleLoad();
+    routed.estimate->OnNoLoad();
   }
 }
 
@@ -144,7 +142,7 @@
                                           state.attempt_id);
   if (!answer_headers.misdirected) {
     context.permits.OnAnswer(target, answer_headers.rate_limit);
-    RecordLoad(context, routed, answer_headers);
+    RecordLoad(context, routed, answer_headers, stream.status());
   }
   if (answer_headers.leaving) {
     context.leaving.OnLeaving(target.id, target.incarnation);
--- a/tests/gateway/target_probes_test.cc
+++ b/tests/gateway/target_probes_test.cc
@@ -112,7 +112,7 @@
     request.random = random;
     // The figures are used at the age that they have on a machine at rest.
     request.now = Clock::now();
-    const Router router({.zone = "z"});
+    const Router router({.zone = "z", .use_estimates = true});
     const std::string chosen = router.Choose(table, request)->target.id;
     const char* const better = unprobed[0] == "2" ? "1" : "2";
     cr_assert_str_eq(chosen.c_str(), better);
--- a/tests/request/estimate_choice_test.cc
+++ b/tests/request/estimate_choice_test.cc
@@ -76,7 +76,7 @@
       }
       EstimateOf(table, index).OnLoad(report, kStart);
     }
-    const Router router({.zone = "zone-0"});
+    const Router router({.zone = "zone-0", .use_estimates = true});
     const auto chosen = router.Choose(
         table, MakeRequest(*rc::gen::arbitrary<uint64_t>(), kStart));
     RC_ASSERT(chosen->target.id == std::to_string(free));
@@ -88,7 +88,7 @@
   cr_assert(rc::check([] {
     const auto count = *rc::gen::inRange<size_t>(2, 7);
     const TargetTable table = MakeTable(count);
-    const Router router({.zone = "zone-0"});
+    const Router router({.zone = "zone-0", .use_estimates = true});
     std::map<std::string, double> sent;
     constexpr int kRequests = 200;
     const bool is_steady = *rc::gen::arbitrary<bool>();
@@ -122,7 +122,7 @@
 // Guards against a share that sends requests to targets which fail.
 Test(estimate_choice, a_failing_target_is_avoided_beyond_the_share_of_others) {
   const TargetTable table = MakeTable(3);
-  const Router router({.zone = "zone-0"});
+  const Router router({.zone = "zone-0", .use_estimates = true});
   for (size_t index = 0; index < 3; ++index) {
     EstimateOf(table, index).OnLoad({.slots = kSlots}, kStart);
   }
@@ -147,7 +147,7 @@
 // with no report of that. History counts for some minutes.
 Test(estimate_choice, a_target_that_was_slow_is_tried_again) {
   const TargetTable table = MakeTable(3);
-  const Router router({.zone = "zone-0"});
+  const Router router({.zone = "zone-0", .use_estimates = true});
   TimePoint now = kStart;
   std::map<std::string, int> sent;
   for (uint64_t request = 0; request < 500; ++request) {
@@ -172,7 +172,7 @@
     const TargetTable table = MakeTable(count);
     // One target may state four figures; another does not.
     const bool is_mixed = count > 1 && *rc::gen::arbitrary<bool>();
-    const Router router({.zone = "zone-0"});
+    const Router router({.zone = "zone-0", .use_estimates = true});
     TimePoint now = kStart;
     if (is_mixed) {
       EstimateOf(table, count - 1).OnNoLoad();
--- a/tests/request/uneven_policies.h
+++ b/tests/request/uneven_policies.h
@@ -154,7 +154,8 @@
     }
     state->tables.emplace_back(std::move(targets), nullptr);
     state->routers.emplace_back(
-        RouterOptions{.zone = std::to_string(gateway % kUnevenTargets)});
+        RouterOptions{.zone = std::to_string(gateway % kUnevenTargets),
+                      .use_estimates = true});
   }
   UnevenPolicy policy;
   policy.probes = probes;
