--- a/src/programs/gateway/live_call.cc
+++ b/src/programs/gateway/live_call.cc
@@ -184,8 +184,9 @@
     request.random = context_.random();
     request.now = now;
     if (state_->attempts.empty() && !unprobed_.empty()) {
-      unprobed_.insert(unprobed_.end(), tried.begin(), tried.end());
-      request.excluded = unprobed_;
+      std::vector<std::string> avoided = unprobed_;
+      avoided.insert(avoided.end(), tried.begin(), tried.end());
+      request.excluded = avoided;
       if (auto probed = context_.router.Choose(context_.targets, request)) {
         return probed;
       }
