--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -132,13 +132,24 @@
           io_,
           HttpServerLimits{},
           [this](HttpExchange& exchange) { ServeMetrics(exchange); }),
-      router_(RouterOptions{.zone = settings.process.zone}),
+      router_(
+          RouterOptions{.zone = settings.process.zone, .use_estimates = true}),
       random_(std::random_device()()),
       service_reach_(
           io_,
           fleet_subscriber_.targets(),
           random_,
           [this] { fleet_subscriber_.OfferRelay(MakeRelayOffer()); }),
+      target_probes_(io_,
+                     target_client_,
+                     metrics_,
+                     {.enabled = settings.target_probes},
+                     [this](std::string_view service) {
+                       const RouteTablePtr table = fleet_subscriber_.routes();
+                       const auto* declared =
+                           table ? table->Service(service) : nullptr;
+                       return declared ? declared->health_path() : "";
+                     }),
       live_call_context_{io_,
                          target_client_,
                          fleet_subscriber_.targets(),
@@ -152,7 +163,8 @@
                          service_reach_,
                          relay_choice_,
                          usage_counter_,
-                         wall_clock_},
+                         wall_clock_,
+                         target_probes_},
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       settings_watcher_(timers_, settings_path_, [this] { Reload(); }),
       event_loop_monitor_(timers_, kEventLoopCheckPeriod) {}
--- a/src/programs/gateway/live_call_context.h
+++ b/src/programs/gateway/live_call_context.h
@@ -17,6 +17,7 @@
 #include "programs/gateway/stream_directory.h"
 #include "programs/gateway/suspect_requests.h"
 #include "programs/gateway/target_permits.h"
+#include "programs/gateway/target_probes.h"
 
 namespace limpethatch {
 
@@ -36,6 +37,7 @@
   RelayChoice& relays;
   UsageCounter& usage;
   const WallClock& wall_clock;
+  TargetProbes& probes;
   // The process ends: calls that still wait for targets are answered now.
   bool ending = false;
   // Of the bodies of answers that are being read.
--- a/tests/control/usage_report_test.cc
+++ b/tests/control/usage_report_test.cc
@@ -161,7 +161,7 @@
   duties.names = {"usage"};
   duties.usage_window = kWindow;
   FleetFixture fleet(duties);
-  fleet.PutConfiguration(1, kOrganisation);
+  fleet.PutConfiguration(1, 1, {{kOrganisation, "key"}});
   CountingGateway gateway("127.0.0.5", fleet.group());
   std::map<uint64_t, uint64_t> counted;
   const auto count_for = [&](Duration time) {
