Bound what clients take of gateways and control instances

Bodies left one byte short, heads of many short lines, trailers without end, answers that nobody reads and JSON of short values took memory without a common limit.

ClientMemory is one budget per process (memory_budget; by default a half of the machine's memory at gateways, a quarter at control instances, 64 MiB where the settings do not state it). Bytes are reserved before more is read or parsed. Without room, reading pauses for up to 100 ms; then the connection that holds most for longest is refused with 503 or closed. Running requests are never closed. An eighth is kept for small requests.

Lines between chunks and trailers are limited to max_header_bytes and as much again as the body; trailers no longer become header fields. Bodies and answers proceed at min_rate. Listeners leave reserved_descriptors free, and close the longest idle connection for a new one when full. JSON is decoded within what is free of the budget.

--- a/src/limpethatch/connection/http_client.cc
+++ b/src/limpethatch/connection/http_client.cc
@@ -17,6 +17,10 @@
 
 namespace {
 
+// A body of at most this size is written together with its head, which saves a
+// system call; a larger one is not copied.
+constexpr size_t kMaxJoinedBytes = 16UL * 1024;
+
 // The result of writing a request: the connection to read the answer from, or
 // the error.
 struct SentRequest {
@@ -29,7 +33,8 @@
 SentRequest Send(Yield yield,
                  HttpConnectionPool& pool,
                  const Endpoint& endpoint,
-                 const std::string& text,
+                 std::string_view head,
+                 std::string_view body,
                  const HttpCallOptions& options) {
   bool fresh = options.fresh_connection;
   while (true) {
@@ -51,10 +56,14 @@
       return sent;
     }
     size_t written = 0;
-    sent.error = sent.connection->socket.Write(
-        yield, text,
-        std::min(options.progress_timeout, options.deadline - Clock::now()),
-        &written);
+    for (const std::string_view text : {head, body}) {
+      if (!sent.error) {
+        sent.error = sent.connection->socket.Write(
+            yield, text,
+            std::min(options.progress_timeout, options.deadline - Clock::now()),
+            &written);
+      }
+    }
     sent.progress =
         written == 0 ? CallProgress::kNotSent : CallProgress::kMaybeRan;
     if (sent.error && Clock::now() >= options.deadline) {
@@ -149,12 +158,16 @@
                                    const HttpRequest& request,
                                    const HttpCallOptions& options) {
   HttpStreamOutcome outcome;
-  const auto text = EncodeRequest(request, endpoint);
-  if (!text) {
-    outcome.error = text.error();
+  auto head = EncodeRequestHead(request, endpoint);
+  if (!head) {
+    outcome.error = head.error();
     return outcome;
   }
-  SentRequest sent = Send(yield, *pool_, endpoint, text.value(), options);
+  std::string_view body = request.body;
+  if (body.size() <= kMaxJoinedBytes) {
+    head.value() += std::exchange(body, {});
+  }
+  SentRequest sent = Send(yield, *pool_, endpoint, head.value(), body, options);
   outcome.progress = sent.progress;
   outcome.opened_connection = sent.opened_connection;
   outcome.error = sent.error;
--- a/src/limpethatch/connection/http_server.cc
+++ b/src/limpethatch/connection/http_server.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/strand.hpp>
 #include <mutex>
 #include <set>
+#include <utility>
 
 #include "limpethatch/connection/internal/http_server_connection.h"
 #include "limpethatch/process/log.h"
@@ -28,15 +29,22 @@
 struct HttpServer::Shared : std::enable_shared_from_this<HttpServer::Shared> {
   Shared(asio::io_context& context,
          HttpServerLimits initial_limits,
-         Handler request_handler)
+         Handler request_handler,
+         std::shared_ptr<ClientMemory> memory)
       : io(context),
-        server_state(initial_limits, std::move(request_handler)),
+        server_state(initial_limits,
+                     std::move(request_handler),
+                     std::move(memory)),
         acceptor(asio::make_strand(context)) {}
 
   void AcceptLoop(Yield yield);
   void Start(const std::shared_ptr<HttpServerConnection>& connection);
   void RemoveConnection(
       const std::shared_ptr<HttpServerConnection>& connection);
+  // Closes the connection that has been idle for longest, or else the one whose
+  // request has been incomplete for longest. Returns false if there is none, or
+  // memory is not bounded.
+  bool CloseLongestWaiting();
   void CloseAcceptor();
   template <typename Action>
   void ForEachConnection(Action action);
@@ -65,7 +73,9 @@
       SleepFor(yield, kAcceptRetryDelay);
     } else if (connection->socket().Configure()) {
       continue;
-    } else if (open_connections >= server_state.Limits().max_connections) {
+    } else if ((open_connections >= server_state.Limits().max_connections &&
+                !CloseLongestWaiting()) ||
+               !connection->ReserveConnection()) {
       connection->socket().socket().write_some(
           asio::buffer(kTooManyConnections), error);
     } else {
@@ -98,6 +108,31 @@
   connections.erase(connection);
 }
 
+bool HttpServer::Shared::CloseLongestWaiting() {
+  using Phase = ClientMemory::Phase;
+  ClientMemory::Share* longest = nullptr;
+  const std::lock_guard lock(mutex);
+  for (const auto& connection : connections) {
+    ClientMemory::Share* share = connection->share();
+    if (!share || share->evicted() ||
+        (share->phase() != Phase::kIdle && share->phase() != Phase::kReading)) {
+      continue;
+    }
+    const auto rank = [](const ClientMemory::Share& one) {
+      return std::pair(one.phase(), one.phase_began_at());
+    };
+    if (!longest || rank(*share) < rank(*longest)) {
+      longest = share;
+    }
+  }
+  if (!longest) {
+    return false;
+  }
+  longest->memory().CountRefusal("connections", Clock::now());
+  longest->Evict();
+  return true;
+}
+
 void HttpServer::Shared::CloseAcceptor() {
   asio::post(acceptor.get_executor(), [self = shared_from_this()] {
     error_code ignored;
@@ -116,10 +151,22 @@
   }
 }
 
+TimePoint HttpServerLimits::RateLimit(TimePoint began_at, size_t bytes) const {
+  if (min_bytes_per_second == 0) {
+    return TimePoint::max();
+  }
+  return began_at + rate_grace +
+         std::chrono::seconds(bytes / min_bytes_per_second);
+}
+
 HttpServer::HttpServer(asio::io_context& io,
                        HttpServerLimits limits,
-                       Handler handler)
-    : shared_(std::make_shared<Shared>(io, limits, std::move(handler))) {}
+                       Handler handler,
+                       std::shared_ptr<ClientMemory> memory)
+    : shared_(std::make_shared<Shared>(io,
+                                       limits,
+                                       std::move(handler),
+                                       std::move(memory))) {}
 
 HttpServer::~HttpServer() {
   shared_->CloseAcceptor();
--- a/src/limpethatch/connection/http_server.h
+++ b/src/limpethatch/connection/http_server.h
@@ -3,10 +3,12 @@
 #define LIMPETHATCH_CONNECTION_HTTP_SERVER_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
 
+#include "limpethatch/connection/client_memory.h"
 #include "limpethatch/connection/http_types.h"
 #include "limpethatch/connection/yield.h"
 #include "limpethatch/process/clock.h"
@@ -26,6 +28,15 @@
   // How long an idle connection still accepts a request while the server
   // drains.
   Duration drain_idle_timeout = std::chrono::milliseconds(500);
+  // Bodies and answers must proceed at this rate on average; 0: at any.
+  size_t min_bytes_per_second = 512;
+  // The rate counts after this time; no less than `write_timeout`, so that it
+  // ends no write that may still make progress.
+  Duration rate_grace = std::chrono::seconds(20);
+
+  // When a transfer that has begun at `began_at` and moved `bytes` falls below
+  // the rate.
+  TimePoint RateLimit(TimePoint began_at, size_t bytes) const;
 };
 
 // One request and the means to answer it. It is valid while its handler runs.
@@ -48,15 +59,24 @@
   virtual std::error_code FinishStream() = 0;
   // Returns true once the peer has closed its side or the connection failed.
   virtual bool PeerDisconnected() = 0;
+  // Bytes that the handler may use for the request for a moment, besides its
+  // body.
+  virtual size_t spare_memory() const { return SIZE_MAX; }
+  // Counts `bytes` more towards the memory of clients until the exchange ends.
+  // Returns false, and counts nothing, if there is no room.
+  virtual bool HoldMemory(size_t /*bytes*/) { return true; }
 };
 
 class HttpServer {
  public:
   using Handler = std::function<void(HttpExchange&)>;
 
+  // With `memory`, all servers that share it, and the coroutines of their
+  // requests, must run on one thread.
   HttpServer(boost::asio::io_context& io,
              HttpServerLimits limits,
-             Handler handler);
+             Handler handler,
+             std::shared_ptr<ClientMemory> memory = nullptr);
   ~HttpServer();
 
   // Binds to `endpoint` and starts to accept connections. Port 0 selects a free
--- a/src/limpethatch/connection/http_types.h
+++ b/src/limpethatch/connection/http_types.h
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "limpethatch/connection/shared_body.h"
+
 namespace limpethatch {
 
 // Header fields in their order. Names are compared case-insensitively.
@@ -33,7 +35,7 @@
   std::string path;   // Without the query.
   std::string query;  // The part after the '?', not decoded.
   HttpHeaders headers;
-  std::string body;
+  SharedBody body;
 };
 
 struct HttpResponse {
--- a/src/limpethatch/connection/internal/http_codec.cc
+++ b/src/limpethatch/connection/internal/http_codec.cc
@@ -5,6 +5,7 @@
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <utility>
 
 #include "limpethatch/connection/http_error.h"
@@ -42,14 +43,12 @@
 }
 
 template <bool kIsRequest, typename Body>
-std::string Serialize(http::message<kIsRequest, Body>& message,
-                      bool header_only) {
+std::string SerializeHead(http::message<kIsRequest, Body>& message) {
   http::serializer<kIsRequest, Body> serializer(message);
-  serializer.split(header_only);
+  serializer.split(true);
   std::string text;
   beast::error_code error;
-  while (!error &&
-         !(header_only ? serializer.is_header_done() : serializer.is_done())) {
+  while (!error && !serializer.is_header_done()) {
     serializer.next(error, [&](beast::error_code&, const auto& buffers) {
       text += beast::buffers_to_string(buffers);
       serializer.consume(beast::buffer_bytes(buffers));
@@ -65,9 +64,9 @@
 
 }  // namespace
 
-Result<std::string> EncodeRequest(const HttpRequest& request,
-                                  const Endpoint& host) {
-  http::request<http::string_body> message;
+Result<std::string> EncodeRequestHead(const HttpRequest& request,
+                                      const Endpoint& host) {
+  http::request<http::span_body<const char>> message;
   const std::string target =
       request.query.empty() ? request.path : request.path + "?" + request.query;
   if (ContainsAnyOf(request.method, "\r\n ") ||
@@ -81,23 +80,22 @@
   if (!SetHeaders(request.headers, &message)) {
     return HttpError::kMalformed;
   }
-  message.body() = request.body;
+  message.body() = {request.body.text().data(), request.body.size()};
   message.prepare_payload();
-  return Serialize(message, false);
+  return SerializeHead(message);
 }
 
-Result<std::string> EncodeResponse(const HttpResponse& response,
-                                   KeepAlive keep_alive,
-                                   bool head) {
-  http::response<http::string_body> message;
+Result<std::string> EncodeResponseHead(const HttpResponse& response,
+                                       KeepAlive keep_alive) {
+  http::response<http::span_body<const char>> message;
   message.result(static_cast<unsigned>(response.status));
   if (!SetHeaders(response.headers, &message)) {
     return HttpError::kMalformed;
   }
   message.keep_alive(keep_alive == KeepAlive::kYes);
-  message.body() = response.body;
+  message.body() = {response.body.data(), response.body.size()};
   message.prepare_payload();
-  return Serialize(message, head);
+  return SerializeHead(message);
 }
 
 Result<std::string> EncodeStreamHeader(int status,
@@ -110,7 +108,7 @@
   }
   message.keep_alive(keep_alive == KeepAlive::kYes);
   message.chunked(true);
-  return Serialize(message, true);
+  return SerializeHead(message);
 }
 
 std::string EncodeChunk(std::string_view chunk) {
@@ -131,7 +129,7 @@
   return headers;
 }
 
-HttpRequest DecodeRequest(BeastRequest&& message) {
+HttpRequest DecodeRequestHead(const BeastRequest& message) {
   HttpRequest request;
   request.method = std::string(message.method_string());
   const std::string_view target(message.target());
@@ -141,7 +139,6 @@
     request.query = target.substr(question + 1);
   }
   request.headers = DecodeHeaders(message);
-  request.body = std::move(message.body());
   return request;
 }
 
--- a/src/limpethatch/connection/internal/http_codec.h
+++ b/src/limpethatch/connection/internal/http_codec.h
@@ -20,12 +20,11 @@
 
 // Error: HttpError::kMalformed if a field contains bytes, such as line breaks,
 // that would corrupt the message framing.
-Result<std::string> EncodeRequest(const HttpRequest& request,
-                                  const Endpoint& host);
-// With `head`, the body is left out but Content-Length still counts it.
-Result<std::string> EncodeResponse(const HttpResponse& response,
-                                   KeepAlive keep_alive,
-                                   bool head);
+// The body follows as it is.
+Result<std::string> EncodeRequestHead(const HttpRequest& request,
+                                      const Endpoint& host);
+Result<std::string> EncodeResponseHead(const HttpResponse& response,
+                                       KeepAlive keep_alive);
 // Encodes the header of a response with chunked transfer encoding.
 Result<std::string> EncodeStreamHeader(int status,
                                        const HttpHeaders& headers,
@@ -33,7 +32,8 @@
 std::string EncodeChunk(std::string_view chunk);
 std::string EncodeLastChunk();
 
-HttpRequest DecodeRequest(BeastRequest&& message);
+// Decodes all but the body.
+HttpRequest DecodeRequestHead(const BeastRequest& message);
 HttpHeaders DecodeHeaders(const boost::beast::http::fields& fields);
 
 }  // namespace limpethatch
--- a/src/limpethatch/connection/request_content.cc
+++ b/src/limpethatch/connection/request_content.cc
@@ -14,8 +14,7 @@
     text += part;
     text += '\n';  // None of these can contain a line feed.
   }
-  text += request.body;
-  return BytesToHex(RequestDigest(text));
+  return BytesToHex(RequestDigest(text, request.body));
 }
 
 }  // namespace limpethatch
--- a/src/limpethatch/process/digest.cc
+++ b/src/limpethatch/process/digest.cc
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 #include <xxhash.h>
 
+#include <memory>
+
 namespace limpethatch {
 
 uint64_t ContentDigest(std::string_view text) {
@@ -16,6 +18,18 @@
                      sizeof(canonical.digest));
 }
 
+std::string RequestDigest(std::string_view head, std::string_view body) {
+  const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> state(
+      XXH3_createState(), &XXH3_freeState);
+  XXH3_128bits_reset(state.get());
+  XXH3_128bits_update(state.get(), head.data(), head.size());
+  XXH3_128bits_update(state.get(), body.data(), body.size());
+  XXH128_canonical_t canonical;
+  XXH128_canonicalFromHash(&canonical, XXH3_128bits_digest(state.get()));
+  return std::string(reinterpret_cast<const char*>(canonical.digest),
+                     sizeof(canonical.digest));
+}
+
 std::string DigestToHex(uint64_t digest) {
   return fmt::format("{:016x}", digest);
 }
--- a/src/limpethatch/process/digest.h
+++ b/src/limpethatch/process/digest.h
@@ -13,6 +13,8 @@
 
 // 128-bit XXH3 as 16 bytes; distinguishes requests from one another.
 std::string RequestDigest(std::string_view text);
+// The same digest of `head` followed by `body`, without joining them.
+std::string RequestDigest(std::string_view head, std::string_view body);
 
 // Formats bytes as lower-case hexadecimal digits.
 std::string BytesToHex(std::string_view bytes);
--- a/src/programs/control/control_settings.cc
+++ b/src/programs/control/control_settings.cc
@@ -43,6 +43,7 @@
   reader.Read("snapshot_entries", &snapshot_entries, kOptional,
               kSnapshotEntries);
   reader.ReadByteSize("snapshot_bytes", &snapshot_bytes, kOptional);
+  client_limits.ReadFrom(reader);
   reader.Read("dispatch", &dispatch, kOptional);
   if (dispatch != kWeighted && dispatch != kFifo) {
     reader.AddFault("dispatch", "expected \"weighted\" or \"fifo\"");
--- a/src/programs/control/control_settings.h
+++ b/src/programs/control/control_settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "consensus.pb.h"
+#include "limpethatch/connection/client_limits.h"
 #include "limpethatch/process/settings.h"
 #include "limpethatch/version/dispatch_policy.h"
 
@@ -52,6 +53,8 @@
   // baseline. Must be the same on all control instances.
   std::string dispatch = "weighted";
 
+  ClientLimits client_limits;
+
   void ReadFrom(JsonReader& reader);
   // The endpoint for messages of the control instance at `seed`.
   Endpoint MessengerEndpoint(const Endpoint& seed) const {
--- a/src/programs/control/fleet_metrics.cc
+++ b/src/programs/control/fleet_metrics.cc
@@ -93,6 +93,7 @@
   reward_runner_.latency().Write({"outcome", "scored"}, &text);
   HttpResponse response;
   response.headers.Set("Content-Type", "text/plain; version=0.0.4");
+  client_memory_->Write(&text);
   response.body = text.text();
   exchange.Respond(response);
 }
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -40,6 +40,12 @@
   return (uint64_t{device()} << 32) | device() | 1;
 }
 
+// Parts of the machine's memory and of the descriptors that are not reserved.
+// The rest is for the replicated state, and for streams of engines.
+constexpr size_t kMemoryDivisor = 4;
+constexpr size_t kApiDivisor = 2;
+constexpr size_t kMonitoringDivisor = 64;
+
 ControlClientOptions ClientOptions(const ControlSettings& settings) {
   ControlClientOptions options;
   options.instance = settings.process.id;
@@ -76,14 +82,21 @@
       settings_(settings),
       replica_(replica),
       client_(io, messenger, ClientOptions(settings)),
-      api_(io,
-           HttpServerLimits{},
-           [this](HttpExchange& exchange) {
-             platform::ServeControlCall(*this, exchange);
-           }),
-      metrics_(io,
-               HttpServerLimits{},
-               [this](HttpExchange& exchange) { ServeMetrics(exchange); }),
+      client_memory_(std::make_shared<ClientMemory>(
+          settings.client_limits.Budget(kMemoryDivisor))),
+      api_(
+          io,
+          settings.client_limits.ServerLimits(DescriptorLimit(), kApiDivisor),
+          [this](HttpExchange& exchange) {
+            platform::ServeControlCall(*this, exchange);
+          },
+          client_memory_),
+      metrics_(
+          io,
+          settings.client_limits.ServerLimits(DescriptorLimit(),
+                                              kMonitoringDivisor),
+          [this](HttpExchange& exchange) { ServeMetrics(exchange); },
+          client_memory_),
       disk_(settings.data_folder),
       epoch_(RandomEpoch()),
       configuration_transfers_(kTransferConfirmationTimeout),
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -270,6 +270,7 @@
   const ControlSettings& settings_;
   ReplicaRunner& replica_;
   ControlClient client_;
+  const std::shared_ptr<ClientMemory> client_memory_;
   HttpServer api_;
   HttpServer metrics_;
 
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -7,6 +7,7 @@
 #include "envelope.pb.h"
 #include "limpethatch/connection/relay_result.h"
 #include "limpethatch/process/log.h"
+#include "limpethatch/process/metrics_text.h"
 #include "limpethatch/version/job_page.h"
 #include "platform/gateway_api.h"
 
@@ -37,10 +38,21 @@
 // Size of the header fields in which a relayed request may exceed the caller's.
 constexpr size_t kRelayHeaderBytes = 256;
 constexpr int kUnavailable = 503;
+// Parts of the machine's memory and of the descriptors that are not reserved.
+// The rest of the memory is for targets' answers, state and the kernel.
+constexpr size_t kMemoryDivisor = 2;
+constexpr size_t kCallerDivisor = 1;
+constexpr size_t kRelayDivisor = 16;
+constexpr size_t kMonitoringDivisor = 64;
 // Requests that are still active at the end of an orderly stop are answered
 // within this time; several times the period at which calls check for it.
 constexpr Duration kFinalAnswerTime = milliseconds(400);
 
+HttpServerLimits MakeServerLimits(const GatewaySettings& settings,
+                                  size_t divisor) {
+  return settings.client_limits.ServerLimits(DescriptorLimit(), divisor);
+}
+
 ChangeOutcome ToChangeOutcome(ControlCertainty certainty) {
   switch (certainty) {
     case ControlCertainty::kDone:
@@ -102,24 +114,32 @@
           HttpClientOptions{.translation = settings.process.address_translation,
                             .max_idle_time = kTargetConnectionIdleTime,
                             .keep_alive = kTargetKeepAlive}),
-      caller_server_(io_,
-                     HttpServerLimits{},
-                     [this](HttpExchange& exchange) {
-                       platform::ServeGatewayCall(*this, exchange);
-                     }),
+      client_memory_(std::make_shared<ClientMemory>(
+          settings.client_limits.Budget(kMemoryDivisor))),
+      caller_server_(
+          io_,
+          MakeServerLimits(settings, kCallerDivisor),
+          [this](HttpExchange& exchange) {
+            platform::ServeGatewayCall(*this, exchange);
+          },
+          client_memory_),
       relay_server_(
           io_,
-          HttpServerLimits{},
-          [this](HttpExchange& exchange) { ServeForGateway(exchange); }),
-      readiness_server_(io_,
-                        HttpServerLimits{},
-                        [this](HttpExchange& exchange) {
-                          platform::ServeReadiness(IsReady(), exchange);
-                        }),
+          MakeServerLimits(settings, kRelayDivisor),
+          [this](HttpExchange& exchange) { ServeForGateway(exchange); },
+          client_memory_),
+      readiness_server_(
+          io_,
+          MakeServerLimits(settings, kMonitoringDivisor),
+          [this](HttpExchange& exchange) {
+            platform::ServeReadiness(IsReady(), exchange);
+          },
+          client_memory_),
       metrics_server_(
           io_,
-          HttpServerLimits{},
-          [this](HttpExchange& exchange) { ServeMetrics(exchange); }),
+          MakeServerLimits(settings, kMonitoringDivisor),
+          [this](HttpExchange& exchange) { ServeMetrics(exchange); },
+          client_memory_),
       router_(RouterOptions{.zone = settings.process.zone}),
       random_(std::random_device()()),
       service_reach_(
@@ -138,7 +158,8 @@
                          leaving_targets_,
                          suspect_requests_,
                          service_reach_,
-                         relay_choice_},
+                         relay_choice_,
+                         *client_memory_},
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       settings_watcher_(timers_, settings_path_, [this] { Reload(); }),
       event_loop_monitor_(timers_, kEventLoopCheckPeriod) {}
@@ -199,7 +220,7 @@
   }
   applied_limits_version_ = table->version();
   const wire::CallerLimits& configured = table->configuration().limits();
-  HttpServerLimits limits;
+  HttpServerLimits limits = MakeServerLimits(settings_, kCallerDivisor);
   if (configured.max_header_bytes() > 0) {
     limits.max_header_bytes = configured.max_header_bytes();
   }
@@ -215,6 +236,8 @@
   caller_server_.SetLimits(limits);
   // The header fields that a gateway adds or writes differently.
   limits.max_header_bytes += kRelayHeaderBytes;
+  limits.max_connections =
+      MakeServerLimits(settings_, kRelayDivisor).max_connections;
   relay_server_.SetLimits(limits);
 }
 
@@ -416,6 +439,9 @@
       fleet_subscriber_.routes() ? fleet_subscriber_.routes()->version() : 0,
       fleet_subscriber_.targets().targets().size(),
       fleet_subscriber_.has_quorum_contact());
+  MetricsText clients;
+  client_memory_->Write(&clients);
+  response.body += clients.text();
   exchange.Respond(response);
 }
 
--- a/src/programs/gateway/gateway.h
+++ b/src/programs/gateway/gateway.h
@@ -5,10 +5,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <memory>
 #include <random>
 #include <string>
 #include <string_view>
 
+#include "limpethatch/connection/client_memory.h"
 #include "limpethatch/connection/control_client.h"
 #include "limpethatch/connection/fleet_interface.h"
 #include "limpethatch/connection/http_client.h"
@@ -90,6 +92,7 @@
   SuspectRequests suspect_requests_;
   RelayChoice relay_choice_;
   HttpClient target_client_;
+  const std::shared_ptr<ClientMemory> client_memory_;
   HttpServer caller_server_;
   HttpServer relay_server_;
   HttpServer readiness_server_;
--- a/src/programs/gateway/gateway_settings.cc
+++ b/src/programs/gateway/gateway_settings.cc
@@ -13,6 +13,7 @@
   reader.Read("seeds", &seeds, kRequired);
   reader.Read("stop_time", &stop_time, kOptional);
   reader.Read("accept_time", &accept_time, kOptional);
+  client_limits.ReadFrom(reader);
   if (accept_time >= stop_time) {
     reader.AddFault("accept_time", "expected less than stop_time");
   }
--- a/src/programs/gateway/gateway_settings.h
+++ b/src/programs/gateway/gateway_settings.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "limpethatch/connection/client_limits.h"
 #include "limpethatch/process/settings.h"
 
 namespace limpethatch {
@@ -26,6 +27,8 @@
   // to fail, as the platform still sends some.
   Duration accept_time = std::chrono::milliseconds(2300);
 
+  ClientLimits client_limits;
+
   void ReadFrom(JsonReader& reader);
   // Endpoints at which the control instances among `seeds` receive messages.
   std::vector<Endpoint> ControlEndpoints() const;
--- a/src/programs/gateway/live_attempt.cc
+++ b/src/programs/gateway/live_attempt.cc
@@ -39,22 +39,32 @@
           error.message(), error};
 }
 
-// Counts the bytes of one answer towards a total while the answer is read.
+// Counts the bytes of one answer towards two totals while the answer is read.
 class BufferedBytes {
  public:
-  explicit BufferedBytes(size_t& total) : total_(total) {}
-  ~BufferedBytes() { total_ -= own_; }
+  explicit BufferedBytes(LiveCallContext& context)
+      : total_(context.buffered_answer_bytes),
+        share_(context.memory.shared_from_this(), [] {}) {
+    share_.BeginPhase(ClientMemory::Phase::kRunning, Clock::now());
+  }
+  ~BufferedBytes() { total_ -= share_.bytes(); }
   BufferedBytes(const BufferedBytes&) = delete;
   BufferedBytes& operator=(const BufferedBytes&) = delete;
 
-  void Add(size_t bytes) {
-    own_ += bytes;
+  // Returns false if there is no room. Small answers may exceed the budget, as
+  // their requests have run.
+  bool Add(size_t bytes) {
+    share_.Hold(share_.bytes() + bytes);
     total_ += bytes;
+    share_.memory().MakeRoom(0, Clock::now());
+    return total_ <= kMaxBufferedAnswerBytes &&
+           (share_.bytes() <= ClientMemory::kMaxSmallBytes ||
+            !share_.memory().IsExceeded());
   }
 
  private:
   size_t& total_;
-  size_t own_ = 0;
+  ClientMemory::Share share_;
 };
 
 // Reads the rest of a response.
@@ -62,7 +72,7 @@
                                 LiveCallContext& context,
                                 HttpStream& stream,
                                 std::string* body) {
-  BufferedBytes buffered(context.buffered_answer_bytes);
+  BufferedBytes buffered(context);
   while (true) {
     Result<std::string> chunk = stream.Read(yield);
     if (!chunk) {
@@ -71,8 +81,7 @@
     if (chunk.value().empty()) {
       return std::nullopt;
     }
-    buffered.Add(chunk.value().size());
-    if (context.buffered_answer_bytes > kMaxBufferedAnswerBytes) {
+    if (!buffered.Add(chunk.value().size())) {
       return Failure{AttemptResult::kUnknown, "too_many_answer_bytes", {}};
     }
     *body += chunk.value();
--- a/src/programs/gateway/live_call.cc
+++ b/src/programs/gateway/live_call.cc
@@ -83,7 +83,7 @@
     }
     while (true) {
       if (state_->answer) {
-        RespondWith(*state_->answer);
+        RespondWith(std::move(*state_->answer));
         return;
       }
       if (exchange_.PeerDisconnected()) {
@@ -251,18 +251,21 @@
     }
   }
 
-  void RespondWith(const TargetAnswer& answer) {
+  // Takes the answer, as a copy of its body may be large.
+  void RespondWith(TargetAnswer answer) {
     context_.suspects.OnAnswered(state_->content);
     CancelAttempts();
-    Respond(answer);
+    const int status = answer.response.status;
+    Respond(std::move(answer.response), {.outcome = RelayOutcome::kAnswered,
+                                         .target = answer.target,
+                                         .incarnation = answer.incarnation});
     const Duration latency = Clock::now() - started_at_;
-    context_.metrics.RecordAnswer(route_.name(), answer.response.status,
-                                  latency);
+    context_.metrics.RecordAnswer(route_.name(), status, latency);
     Log(LogLevel::kInfo, "answered",
         {{"request", caller_headers_.attempt_id},
          {"route", route_.name()},
          {"target", answer.target},
-         {"status", answer.response.status},
+         {"status", status},
          {"from_gateway", origin_ == LiveCallOrigin::kGateway},
          {"attempts", state_->attempts.size()},
          {"took_ms",
--- a/src/programs/gateway/live_call_context.h
+++ b/src/programs/gateway/live_call_context.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <random>
 
+#include "limpethatch/connection/client_memory.h"
 #include "limpethatch/connection/http_client.h"
 #include "limpethatch/request/router.h"
 #include "programs/gateway/gateway_metrics.h"
@@ -32,6 +33,7 @@
   SuspectRequests& suspects;
   ServiceReach& reach;
   RelayChoice& relays;
+  ClientMemory& memory;
   // The process ends: calls that still wait for targets are answered now.
   bool ending = false;
   // Of the bodies of answers that are being read.
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -4,6 +4,7 @@
 #include "platform/configuration_codec.h"
 #include "platform/engine_codec.h"
 #include "platform/job_codec.h"
+#include "platform/json_fields.h"
 #include "platform/reward_codec.h"
 #include "platform/target_codec.h"
 
@@ -367,4 +368,26 @@
   }
 }
 
+// Guards against documents of short values, which take many times their size in
+// memory.
+Test(json_fields, a_document_is_decoded_within_the_memory_that_it_may_take) {
+  constexpr size_t kMemory = 100'000;
+  std::string zeros = R"({"items":[0)";
+  for (int i = 0; i < 20'000; ++i) {
+    zeros += ",0";
+  }
+  zeros += "]}";
+  wire::JobSubmit submit;
+  std::string problem;
+  cr_assert(!DecodeSubmission(zeros, &submit, &problem, kMemory));
+  cr_assert(problem == kTooMuchMemory);
+  problem.clear();
+  const auto object =
+      ParseObject(R"({"a":[1,2,{"b":"text"}]})", kMemory, &problem);
+  cr_assert(object && problem.empty());
+  cr_assert(object->at("a").as_array().size() == 3);
+  cr_assert(!ParseObject("[]", kMemory, &problem));
+  cr_assert(problem == "the body is not a JSON object");
+}
+
 }  // namespace limpethatch::platform
