--- a/tests/entry/settings_test.cc
+++ b/tests/entry/settings_test.cc
@@ -134,6 +134,8 @@
      "line 11: election_timeout: expected 4 times the heartbeat or more"},
     {"10000", "5",
      "line 13: snapshot_entries: expected a whole number from 10 to 10000000"},
+    {"\"snapshot_entries\": 10000", "\"memory_budget\": \"10KiB\"",
+     "line 13: memory_budget: expected 1MiB or more"},
     {"\"3s\"", "\"3 s.\"",
      "line 12: session_timeout: expected a duration with its unit, such as "
      "\"250ms\", \"2s\" or \"5min\""},
