--- a/src/limpethatch/process/settings.cc
+++ b/src/limpethatch/process/settings.cc
@@ -4,6 +4,7 @@
 
 #include <cerrno>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <iterator>
 #include <system_error>
@@ -47,6 +48,21 @@
   return text;
 }
 
+std::optional<std::string> ReadSettingsFile(const std::string& path,
+                                            JsonFaults& faults) {
+  std::optional<std::string> text = ReadFile(path, faults);
+  const char* members = std::getenv(kSettingsVariable);
+  if (!text || !members || *members == '\0') {
+    return text;
+  }
+  const size_t end = text->rfind('}');
+  if (end == std::string::npos) {
+    return text;  // Its syntax error is reported by the parser.
+  }
+  text->insert(end, fmt::format(",\n{}\n", members));
+  return text;
+}
+
 void ReadProcessSettings(JsonReader& reader, ProcessSettings* settings) {
   reader.Read("id", &settings->id, kRequired);
   reader.Read("zone", &settings->zone, kRequired);
--- a/src/limpethatch/process/settings.h
+++ b/src/limpethatch/process/settings.h
@@ -28,6 +28,16 @@
 std::optional<std::string> ReadFile(const std::string& path,
                                     JsonFaults& faults);
 
+// The environment variable with further members of a settings file, such as
+// `"memory": "96MiB"`.
+inline constexpr const char* kSettingsVariable = "LIMPETHATCH_SETTINGS";
+
+// Returns the settings file with the members in kSettingsVariable as the last
+// ones of its root object, so that a deployment can state what its template
+// can't. Returns nullopt with the reason in `faults` on errors.
+std::optional<std::string> ReadSettingsFile(const std::string& path,
+                                            JsonFaults& faults);
+
 // Reads "id", "zone", "log_level" and "address_translation".
 void ReadProcessSettings(JsonReader& reader, ProcessSettings* settings);
 
@@ -50,7 +60,7 @@
 std::optional<Settings> LoadSettings(const std::string& path) {
   JsonFaults faults;
   Settings settings;
-  if (const std::optional<std::string> text = ReadFile(path, faults)) {
+  if (const std::optional<std::string> text = ReadSettingsFile(path, faults)) {
     const JsonDocument document(*text, faults);
     if (faults.empty()) {
       JsonReader reader(document, faults);
--- a/src/programs/control/fleet_metrics.cc
+++ b/src/programs/control/fleet_metrics.cc
@@ -101,6 +101,7 @@
   }
   HttpResponse response;
   response.headers.Set("Content-Type", "text/plain; version=0.0.4");
+  client_memory_->Write(&text);
   response.body = text.text();
   exchange.Respond(response);
 }
--- a/src/programs/gateway/gateway_settings.h
+++ b/src/programs/gateway/gateway_settings.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "limpethatch/connection/client_limits.h"
 #include "limpethatch/process/settings.h"
 
 namespace limpethatch {
@@ -29,6 +30,8 @@
   // of it is old.
   bool target_probes = false;
 
+  ClientLimits client_limits;
+
   void ReadFrom(JsonReader& reader);
   // Endpoints at which the control instances among `seeds` receive messages.
   std::vector<Endpoint> ControlEndpoints() const;
--- a/src/programs/gateway/live_call_context.h
+++ b/src/programs/gateway/live_call_context.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <random>
 
+#include "limpethatch/connection/client_memory.h"
 #include "limpethatch/connection/http_client.h"
 #include "limpethatch/process/wall_clock.h"
 #include "limpethatch/request/router.h"
@@ -38,6 +39,7 @@
   UsageCounter& usage;
   const WallClock& wall_clock;
   TargetProbes& probes;
+  ClientMemory& memory;
   // The process ends: calls that still wait for targets are answered now.
   bool ending = false;
   // Of the bodies of answers that are being read.
--- a/tests/control/duty_settings_test.cc
+++ b/tests/control/duty_settings_test.cc
@@ -17,13 +17,28 @@
 const std::string kSectionStart = "{{#cloud.address}}";
 const std::string kSectionEnd = "{{/cloud.address}}";
 
-// The template as the platform renders it: a section is rendered once for each
-// entry of a table, but once for a text, and sections without a value are
+std::string ReadDeployFile(const std::string& name) {
+  std::ifstream file(std::filesystem::path(LIMPETHATCH_SOURCE_DIR) / "deploy" /
+                     name);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+// The further members that the deploy file states for control instances.
+std::string FurtherMembers() {
+  const std::string text = ReadDeployFile("system.toml");
+  const std::string variable = std::string(kSettingsVariable) + " = '";
+  const size_t role = text.find("[roles.control]");
+  cr_assert(role != std::string::npos);
+  const size_t start = text.find(variable, role) + variable.size();
+  return text.substr(start, text.find('\'', start) - start);
+}
+
+// The settings as the platform renders them: a section is rendered once for
+// each entry of a table, but once for a text, and sections without a value are
 // dropped.
 std::string RenderTemplate(bool with_cloud) {
-  std::ifstream file(std::filesystem::path(LIMPETHATCH_SOURCE_DIR) /
-                     "deploy/control.json");
-  std::string text{std::istreambuf_iterator<char>(file), {}};
+  std::string text = ReadDeployFile("control.json");
+  text.insert(text.rfind('}'), "," + FurtherMembers());
   const size_t start = text.find(kSectionStart);
   const size_t end = text.find(kSectionEnd);
   cr_assert(start != std::string::npos && end != std::string::npos);
@@ -44,6 +59,7 @@
       {"bootstrap|json", "false"},
       {"fault_tolerance.machines", "1"},
       {"bounds.lease_ms", "3000"},
+      {"limits.memory_mb", "256"},
       {"cloud.address", "127.0.0.9:80"},
       {"cloud.duties|json", R"(["usage","autoscaling"])"},
       {"bounds.report_window_s", "5"},
