Hedge requests within a share of target time that the leader grants

With the setting `hedging` a gateway hedges a request of a repeatable route that is later than 98% of the recent ones, if another target has a free slot and the leader grants a permit within 20 ms. The leader's budget is earned by first attempts and holds for a route over all gateways. Without the setting nothing changes and no message is sent.

An attempt that its hedge overtook counts as a long call of its target.

The answer of the first attempt to be answered is kept if two are answered before the request goes on; the later one replaced it.

--- a/src/limpethatch/request/target_stats.cc
+++ b/src/limpethatch/request/target_stats.cc
@@ -9,6 +9,10 @@
 constexpr double kFailureGain = 0.1;
 // Probes are rare, so two or three successful ones must be enough.
 constexpr double kProbeGain = 0.7;
+// An overtaken call that has lasted t is taken for one of this times t, as the
+// rest of a long call is about as long again. With 1, a slow target looked
+// faster with hedges than without, and got more requests.
+constexpr double kOvertakenFactor = 2;
 constexpr int kCountBits = 24;
 constexpr uint64_t kCountMask = (uint64_t{1} << kCountBits) - 1;
 
@@ -57,17 +61,25 @@
   if (outcome == CallOutcome::kCancelled) {
     return;
   }
-  const bool failed = outcome == CallOutcome::kFailed;
   const double least_gain = ejected() ? kProbeGain : 0;
-  Smooth(failure_share_, failed ? 1.0 : 0.0,
-         std::max(kFailureGain, least_gain));
-  if (failed) {
-    return;
-  }
+  double latency_s = std::chrono::duration<double>(latency).count();
   Estimate& estimate = estimates_[static_cast<size_t>(request_class)];
+  if (outcome == CallOutcome::kOvertaken) {
+    if (latency_s <= estimate.latency_s.load(std::memory_order_relaxed)) {
+      return;  // The call may have been a usual one.
+    }
+    latency_s *= kOvertakenFactor;
+  } else {
+    const bool failed = outcome == CallOutcome::kFailed;
+    Smooth(failure_share_, failed ? 1.0 : 0.0,
+           std::max(kFailureGain, least_gain));
+    if (failed) {
+      return;
+    }
+  }
   const uint32_t samples =
       estimate.samples.fetch_add(1, std::memory_order_relaxed) + 1;
-  Smooth(estimate.latency_s, std::chrono::duration<double>(latency).count(),
+  Smooth(estimate.latency_s, latency_s,
          std::max({kLatencyGain, 1.0 / samples, least_gain}));
 }
 
--- a/src/limpethatch/request/target_stats.h
+++ b/src/limpethatch/request/target_stats.h
@@ -23,6 +23,9 @@
   kAnswered,   // A complete answer, whatever its status.
   kFailed,     // The target failed, was overloaded or stopped responding.
   kCancelled,  // The caller gave up; tells nothing about the target.
+  // A later attempt of the request was answered first: its latency would have
+  // been longer. Without these, hedges would hide a slow target from routing.
+  kOvertaken,
 };
 
 // Lock-free and thread-safe: updated by all threads of the request path. Shared
--- a/src/programs/control/fleet_leader.cc
+++ b/src/programs/control/fleet_leader.cc
@@ -33,6 +33,7 @@
   reward_runner_.Reset();
   reward_scheduler_.Reset();
   log_format_proposed_ = false;
+  hedge_budget_ = {};
   if (leading) {
     previous_leader_ = last_leader_;
     leading_since_ = Clock::now();
--- a/src/programs/control/fleet_rate_limits.cc
+++ b/src/programs/control/fleet_rate_limits.cc
@@ -1,5 +1,7 @@
-// Rate limits of targets: the leader grants permits for them, and all control
-// instances know them, so that a new leader and the gateways do.
+// Permits that the leader grants: for targets with a rate limit, which all
+// control instances know, so that a new leader and the gateways do; and for
+// hedges, whose budget only the leader has.
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -10,6 +12,18 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+// Bounds the times that one query may state, so that sums stay far from
+// overflow.
+constexpr uint64_t kMaxQueryMs = 60UL * 60 * 1000;
+
+Duration ToTime(uint64_t ms) {
+  return milliseconds(std::min(ms, kMaxQueryMs));
+}
+
+}  // namespace
+
 void FleetService::ObserveRateLimit(const std::string& target,
                                     uint64_t incarnation,
                                     std::optional<double> requests_per_second) {
@@ -60,6 +74,25 @@
   SendReply(request, std::move(reply));
 }
 
+void FleetService::AnswerHedgePermitQuery(const wire::ControlRequest& request) {
+  const TimePoint now = Clock::now();
+  wire::ControlReply reply;
+  if (!IsActiveLeader(now)) {
+    reply.set_outcome(wire::ControlReply::UNAVAILABLE);
+    SendReply(request, std::move(reply));
+    return;
+  }
+  const wire::HedgePermitQuery& query = request.hedge_permit();
+  reply.mutable_hedge_permit()->set_granted(
+      hedge_budget_.Acquire(query.route(),
+                            {.earned = ToTime(query.earned_ms()),
+                             .overrun = ToTime(query.overrun_ms()),
+                             .expected = ToTime(query.expected_ms()),
+                             .extra_work = query.extra_work()},
+                            now));
+  SendReply(request, std::move(reply));
+}
+
 void FleetService::Receive(const wire::TargetRates& rates) {
   TargetRateLimitMap limits;
   for (const wire::TargetRate& rate : rates.rates()) {
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -266,7 +266,8 @@
   if (!request.has_configuration() && !request.has_job() &&
       !request.has_job_body() && !request.has_target_rate() &&
       !request.has_target_permit() && !request.has_stream_begun() &&
-      !request.has_stream_origin() && !request.has_target_leaving()) {
+      !request.has_stream_origin() && !request.has_target_leaving() &&
+      !request.has_hedge_permit()) {
     return false;
   }
   if (!replica_.consensus() || !replica_.consensus()->leading()) {
@@ -279,6 +280,8 @@
     AnswerRateReport(request);
   } else if (request.has_target_permit()) {
     AnswerPermitQuery(request);
+  } else if (request.has_hedge_permit()) {
+    AnswerHedgePermitQuery(request);
   } else if (request.has_stream_begun()) {
     RecordStreamOrigin(request);
   } else if (request.has_stream_origin()) {
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -25,6 +25,7 @@
 #include "limpethatch/process/target_registry.h"
 #include "limpethatch/process/transfer_queue.h"
 #include "limpethatch/process/work_pacer.h"
+#include "limpethatch/request/hedging/hedge_budget.h"
 #include "limpethatch/request/stream_origins.h"
 #include "limpethatch/version/sample_scheduler.h"
 #include "limpethatch/version/weight_rollout.h"
@@ -200,6 +201,7 @@
                         std::optional<double> requests_per_second);
   void AnswerRateReport(const wire::ControlRequest& request);
   void AnswerPermitQuery(const wire::ControlRequest& request);
+  void AnswerHedgePermitQuery(const wire::ControlRequest& request);
   // Takes over the limits that the leader knows.
   void Receive(const wire::TargetRates& rates);
   wire::TargetRates EncodeRateLimits() const;
@@ -343,6 +345,7 @@
   // `last_leader_` when this instance last became leader.
   std::string previous_leader_;
   TimePoint leading_since_;
+  HedgeBudget hedge_budget_;  // Of this term.
   uint64_t scheduler_configuration_version_ = 0;
   std::map<std::string, TimePoint, std::less<>> job_first_seen_at_;
 };
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -97,6 +97,7 @@
       leaving_targets_(io_, control_client_, fleet_subscriber_),
       suspect_requests_(io_, control_client_, fleet_subscriber_.targets()),
       relay_choice_(settings.process.zone),
+      hedge_permits_(io_, control_client_, settings.hedging),
       target_client_(
           io_,
           HttpClientOptions{.translation = settings.process.address_translation,
@@ -138,7 +139,8 @@
                          leaving_targets_,
                          suspect_requests_,
                          service_reach_,
-                         relay_choice_},
+                         relay_choice_,
+                         hedge_permits_},
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       settings_watcher_(timers_, settings_path_, [this] { Reload(); }),
       event_loop_monitor_(timers_, kEventLoopCheckPeriod) {}
@@ -415,7 +417,7 @@
   response.body = metrics_.Text(
       fleet_subscriber_.routes() ? fleet_subscriber_.routes()->version() : 0,
       fleet_subscriber_.targets().targets().size(),
-      fleet_subscriber_.has_quorum_contact());
+      fleet_subscriber_.has_quorum_contact(), hedge_permits_);
   exchange.Respond(response);
 }
 
--- a/src/programs/gateway/gateway.h
+++ b/src/programs/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "programs/gateway/fleet_subscriber.h"
 #include "programs/gateway/gateway_metrics.h"
 #include "programs/gateway/gateway_settings.h"
+#include "programs/gateway/hedge_permits.h"
 #include "programs/gateway/leaving_targets.h"
 #include "programs/gateway/live_call.h"
 #include "programs/gateway/stream_directory.h"
@@ -89,6 +90,7 @@
   LeavingTargets leaving_targets_;
   SuspectRequests suspect_requests_;
   RelayChoice relay_choice_;
+  HedgePermits hedge_permits_;
   HttpClient target_client_;
   HttpServer caller_server_;
   HttpServer relay_server_;
--- a/src/programs/gateway/gateway_metrics.cc
+++ b/src/programs/gateway/gateway_metrics.cc
@@ -12,7 +12,8 @@
 
 std::string GatewayMetrics::Text(uint64_t configuration_version,
                                  size_t targets,
-                                 bool has_quorum_contact) const {
+                                 bool has_quorum_contact,
+                                 const HedgePermits& hedges) const {
   MetricsText text;
   text.Single("limpethatch_configuration_version", MetricType::kGauge,
               "Configuration in force here; 0: none yet.",
@@ -27,6 +28,12 @@
   text.Single("limpethatch_hedges_total", MetricType::kCounter,
               "Second calls while a first one was open.",
               static_cast<double>(hedges_));
+  if (hedges.enabled()) {
+    text.Single("limpethatch_retries_total", MetricType::kCounter,
+                "Further calls after all earlier ones had failed.",
+                static_cast<double>(retries_));
+    hedges.WriteMetrics(&text);
+  }
   text.Single("limpethatch_relayed_calls_total", MetricType::kCounter,
               "Calls handed to another gateway.",
               static_cast<double>(relayed_calls_));
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -8,6 +8,7 @@
 
 #include "limpethatch/process/clock.h"
 #include "limpethatch/process/latency_histogram.h"
+#include "programs/gateway/hedge_permits.h"
 
 namespace limpethatch {
 
@@ -19,6 +20,7 @@
   void RecordAnswer(const std::string& route, int status, Duration latency);
   void CountTargetCall() { ++target_calls_; }
   void CountHedge() { ++hedges_; }
+  void CountRetry() { ++retries_; }
   void CountRelayedCall() { ++relayed_calls_; }
   void CountCallForGateway() { ++calls_for_gateways_; }
   // A permit for a target with a rate limit was denied or not to be had.
@@ -29,7 +31,8 @@
   // The metrics in the Prometheus text format.
   std::string Text(uint64_t configuration_version,
                    size_t targets,
-                   bool has_quorum_contact) const;
+                   bool has_quorum_contact,
+                   const HedgePermits& hedges) const;
 
  private:
   std::map<std::string, LatencyHistogram> latencies_;  // Keyed by route.
@@ -38,6 +41,7 @@
   std::map<std::string, uint64_t> job_calls_;          // Keyed by call.
   uint64_t target_calls_ = 0;
   uint64_t hedges_ = 0;
+  uint64_t retries_ = 0;
   uint64_t relayed_calls_ = 0;
   uint64_t calls_for_gateways_ = 0;
   uint64_t permits_denied_ = 0;
--- a/src/programs/gateway/gateway_settings.cc
+++ b/src/programs/gateway/gateway_settings.cc
@@ -1,6 +1,12 @@
 #include "programs/gateway/gateway_settings.h"
 
 namespace limpethatch {
+namespace {
+
+// A greater share would let hedges decide the load of the targets.
+constexpr double kMaxExtraWork = 0.2;
+
+}  // namespace
 
 void GatewaySettings::ReadFrom(JsonReader& reader) {
   using enum Presence;
@@ -13,6 +19,11 @@
   reader.Read("seeds", &seeds, kRequired);
   reader.Read("stop_time", &stop_time, kOptional);
   reader.Read("accept_time", &accept_time, kOptional);
+  if (std::optional<JsonReader> child = reader.Child("hedging", kOptional)) {
+    child->Read("extra_work", &hedging.emplace().extra_work, kRequired,
+                {.minimum = 0, .maximum = kMaxExtraWork});
+    child->RejectUnknown();
+  }
   if (accept_time >= stop_time) {
     reader.AddFault("accept_time", "expected less than stop_time");
   }
--- a/src/programs/gateway/gateway_settings.h
+++ b/src/programs/gateway/gateway_settings.h
@@ -2,6 +2,7 @@
 #ifndef LIMPETHATCH_PROGRAMS_GATEWAY_GATEWAY_SETTINGS_H_
 #define LIMPETHATCH_PROGRAMS_GATEWAY_GATEWAY_SETTINGS_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,13 @@
 
 namespace limpethatch {
 
+// Hedges with permits of the leader.
+struct HedgingSettings {
+  // Limit of the target time of hedges, as a share of that of first attempts,
+  // for each route over all gateways together. 0: no hedges.
+  double extra_work = 0;
+};
+
 struct GatewaySettings {
   ProcessSettings process;
   Endpoint callers;    // Serves live requests and batch jobs.
@@ -25,6 +33,9 @@
   // New connections are accepted for this long after the readiness check starts
   // to fail, as the platform still sends some.
   Duration accept_time = std::chrono::milliseconds(2300);
+  // Absent: idempotent requests are hedged after half of the target latency of
+  // their route, without a limit.
+  std::optional<HedgingSettings> hedging;
 
   void ReadFrom(JsonReader& reader);
   // Endpoints at which the control instances among `seeds` receive messages.
--- a/src/programs/gateway/live_attempt.cc
+++ b/src/programs/gateway/live_attempt.cc
@@ -102,20 +102,26 @@
   if (answer.response.status < kFirstClientError && !is_signed) {
     return Failure{AttemptResult::kUnknown, "unsigned_answer", {}};
   }
-  state.answer = std::move(answer);
+  // Another attempt may have been answered a moment earlier.
+  if (!state.answer) {
+    state.answer = std::move(answer);
+  }
   return std::nullopt;
 }
 
 std::optional<Failure> ReadTargetAnswer(Yield yield,
                                         LiveCallContext& context,
                                         LiveCallState& state,
-                                        const Target& target,
+                                        const RoutedTarget& routed,
                                         HttpStream& stream) {
+  const Target& target = routed.target;
   const platform::TargetAnswerHeaders answer_headers =
       platform::DecodeTargetAnswerHeaders(stream.status(), stream.headers(),
                                           state.attempt_id);
   if (!answer_headers.misdirected) {
     context.permits.OnAnswer(target, answer_headers.rate_limit);
+    context.hedges.OnLoad(routed, answer_headers.running,
+                          answer_headers.waiting);
   }
   if (answer_headers.leaving) {
     context.leaving.OnLeaving(target.id, target.incarnation);
@@ -202,6 +208,7 @@
                 LiveCallContext& context,
                 LiveCallState& state,
                 const RoutedTarget& routed,
+                const AttemptRole& role,
                 const HttpRequest& request,
                 const HttpCallOptions& options) {
   if (state.finished) {
@@ -222,15 +229,26 @@
   }
   const std::optional<Failure> failure =
       outcome.stream
-          ? ReadTargetAnswer(yield, context, state, target, *outcome.stream)
+          ? ReadTargetAnswer(yield, context, state, routed, *outcome.stream)
           : ConnectionFailure(outcome.error, outcome.progress);
+  context.hedges.OnAttemptEnded(
+      state.route, role,
+      {.may_have_run = !failure || failure->result != AttemptResult::kNotRun,
+       .is_latency = !failure || (state.finished && state.answer),
+       .is_answer =
+           !failure && state.answer && state.answer->target == target.id,
+       .took = Clock::now() - started_at});
   const bool may_have_run =
       failure && failure->result == AttemptResult::kUnknown && failure->error;
   if (state.finished) {
     if (may_have_run && !state.answer) {
       context.suspects.OnNoAnswer(state.content, target);
     }
-    return;  // The destructor of the ticket records the call as cancelled.
+    if (context.hedges.enabled() && state.answer &&
+        role.kind != AttemptRole::Kind::kHedge) {
+      ticket.Finish(CallOutcome::kOvertaken, Clock::now());
+    }
+    return;  // Else the destructor of the ticket records it as cancelled.
   }
   if (may_have_run) {
     if (failure->error == HttpError::kConnectionLost) {
@@ -274,14 +292,16 @@
 void RunTargetAttempt(LiveCallContext& context,
                       const StatePtr& state,
                       const RoutedTarget& target,
+                      AttemptRole role,
                       HttpRequest request,
                       HttpCallOptions options) {
   options.connect_timeout = kConnectTimeout;
   options.max_body_bytes = kMaxAnswerBytes;
-  Spawn(context.io, [&context, state, target, request = std::move(request),
-                     options = std::move(options)](Yield yield) {
-    CallTarget(yield, context, *state, target, request, options);
-  });
+  Spawn(context.io,
+        [&context, state, target, role, request = std::move(request),
+         options = std::move(options)](Yield yield) {
+          CallTarget(yield, context, *state, target, role, request, options);
+        });
 }
 
 void RunRelayedAttempt(LiveCallContext& context,
--- a/src/programs/gateway/live_attempt.h
+++ b/src/programs/gateway/live_attempt.h
@@ -38,6 +38,7 @@
   boost::asio::steady_timer wake_timer;
   std::string attempt_id;  // Of the caller.
   std::string content;     // Digest of the request's content.
+  std::string route;
   bool finished = false;
   bool is_stream = false;
   Duration hedge_after{};
@@ -48,10 +49,12 @@
   std::optional<TargetAnswer> target_failure;
 };
 
-// Sends `request` to the target. The options need a deadline and a token.
+// Sends `request` to the target, as an attempt of this role. The options need a
+// deadline and a token.
 void RunTargetAttempt(LiveCallContext& context,
                       const std::shared_ptr<LiveCallState>& state,
                       const RoutedTarget& target,
+                      AttemptRole role,
                       HttpRequest request,
                       HttpCallOptions options);
 
--- a/src/programs/gateway/live_call.cc
+++ b/src/programs/gateway/live_call.cc
@@ -12,6 +12,7 @@
 #include "limpethatch/request/route_table.h"
 #include "platform/call_codec.h"
 #include "programs/gateway/live_attempt.h"
+#include "programs/gateway/live_call_plan.h"
 
 namespace limpethatch {
 namespace {
@@ -33,8 +34,6 @@
 // If all targets have a rate limit, a request waits for a permit for this part
 // of the time left at most, so that the target can answer within the rest.
 constexpr int kPermitWaitDivisor = 2;
-// A second target is tried after the route's target latency divided by this.
-constexpr int kHedgeDivisor = 2;
 // Other gateways to which one request is handed.
 constexpr size_t kMaxRelays = 3;
 
@@ -60,18 +59,12 @@
     service_ = RouteTable::ServiceFor(route, context.random());
     must_resume_ =
         route.kind() == wire::ROUTE_STREAM && caller_headers_.resumes_stream;
-    LiveAttemptsOptions options;
-    options.idempotent = route.kind() == wire::ROUTE_IDEMPOTENT;
-    options.max_attempts = origin == LiveCallOrigin::kGateway
-                               ? 1
-                               : std::max<uint32_t>(route.max_attempts(), 1);
-    options.deadline = deadline_;
-    if (route.target_latency_ms() > 0) {
-      options.hedge_after =
-          std::chrono::milliseconds(route.target_latency_ms()) / kHedgeDivisor;
-    }
-    state_->hedge_after = options.hedge_after;
-    state_->attempt_policy.emplace(options);
+    const LiveCallPlan plan =
+        MakeLiveCallPlan(route, origin, context.hedges, deadline_, started_at_);
+    hedge_cost_ = plan.hedge_cost;
+    state_->hedge_after = plan.usual_hedge_after;
+    state_->route = route.name();
+    state_->attempt_policy.emplace(plan.attempts);
     state_->content = ContentDigestOf(exchange.request());
     state_->is_stream = route.kind() == wire::ROUTE_STREAM;
   }
@@ -108,7 +101,9 @@
         }
         continue;
       }
-      const std::optional<Endpoint> relay = ChooseRelay(now);
+      // A relay may send a hedge to the target that already has the request.
+      const std::optional<Endpoint> relay =
+          IsNextLimitedHedge() ? std::nullopt : ChooseRelay(now);
       const RoutedTargetPtr target =
           MaySendDirectly() ? ChooseTarget(now) : nullptr;
       const LiveAction action = state_->attempt_policy->Next(
@@ -119,6 +114,8 @@
       }
       if (action.kind == LiveAction::Kind::kWait) {
         WaitUntil(action.until, now);
+      } else if (action.kind == LiveAction::Kind::kAskPermit) {
+        AskHedgePermit(now);
       } else if (relay) {
         StartRelayedAttempt(*relay, now);
       } else if (context_.permits.IsLimited(target->target, now)) {
@@ -162,8 +159,26 @@
     permit_wait_ = std::min(permit_wait_.value_or(wait), wait);
   }
 
+  // Whether the next attempt would be a hedge that needs a permit.
+  bool IsNextLimitedHedge() const {
+    return context_.hedges.enabled() && state_->attempt_policy->open() > 0;
+  }
+
+  void AskHedgePermit(TimePoint now) {
+    state_->attempt_policy->PermitAsked(now);
+    context_.hedges.Ask(
+        route_.name(), hedge_cost_, [state = state_](bool granted) {
+          state->attempt_policy->PermitAnswered(granted, Clock::now());
+          state->wake_timer.cancel();
+        });
+  }
+
   RoutedTargetPtr ChooseTarget(TimePoint now) {
     std::vector<std::string> tried = rate_limited_;
+    if (IsNextLimitedHedge()) {
+      context_.hedges.ExcludeFullTargets(context_.targets, service_, now,
+                                         &tried);
+    }
     for (const LiveAttempt& attempt : state_->attempts) {
       tried.push_back(attempt.target);
     }
@@ -181,7 +196,20 @@
     request.excluded = tried;
     request.random = context_.random();
     request.now = now;
-    return context_.router.Choose(context_.targets, request);
+    const RoutedTargetPtr target =
+        context_.router.Choose(context_.targets, request);
+    // A target with a rate limit has nothing to spare for hedges.
+    const bool is_usable = !target || !IsNextLimitedHedge() ||
+                           !context_.permits.IsLimited(target->target, now);
+    return is_usable ? target : nullptr;
+  }
+
+  AttemptRole NextRole() const {
+    using enum AttemptRole::Kind;
+    return {state_->attempts.empty()             ? kFirst
+            : state_->attempt_policy->open() > 0 ? kHedge
+                                                 : kRetry,
+            hedge_cost_};
   }
 
   // A request from another gateway goes back there at once if this one reaches
@@ -209,6 +237,8 @@
   HttpCallOptions BeginAttempt(const std::string& target, TimePoint now) {
     if (state_->attempt_policy->open() > 0) {
       context_.metrics.CountHedge();
+    } else if (!state_->attempts.empty()) {
+      context_.metrics.CountRetry();
     }
     state_->attempt_policy->Sent(now);
     state_->attempts.push_back({target});
@@ -222,11 +252,11 @@
 
   void StartAttempt(const RoutedTarget& target, TimePoint now) {
     context_.metrics.CountTargetCall();
-    RunTargetAttempt(
-        context_, state_, target,
-        platform::MakeTargetRequest(exchange_.request(), target.target.id,
-                                    deadline_ - now),
-        BeginAttempt(target.target.id, now));
+    HttpRequest request = platform::MakeTargetRequest(
+        exchange_.request(), target.target.id, deadline_ - now);
+    const AttemptRole role = NextRole();  // Before the attempt is counted.
+    RunTargetAttempt(context_, state_, target, role, std::move(request),
+                     BeginAttempt(target.target.id, now));
   }
 
   void StartRelayedAttempt(const Endpoint& relay, TimePoint now) {
@@ -351,6 +381,7 @@
   // Targets with a rate limit for which a permit was requested.
   std::vector<std::string> rate_limited_;
   std::vector<Endpoint> relays_tried_;
+  Duration hedge_cost_{};  // Expected target time of a hedge with a permit.
   // The shortest wait of the permits that were denied.
   std::optional<Duration> permit_wait_;
   std::shared_ptr<LiveCallState> state_;
--- a/src/programs/gateway/live_call_context.h
+++ b/src/programs/gateway/live_call_context.h
@@ -9,6 +9,7 @@
 #include "limpethatch/connection/http_client.h"
 #include "limpethatch/request/router.h"
 #include "programs/gateway/gateway_metrics.h"
+#include "programs/gateway/hedge_permits.h"
 #include "programs/gateway/leaving_targets.h"
 #include "programs/gateway/relay_choice.h"
 #include "programs/gateway/service_reach.h"
@@ -32,6 +33,7 @@
   SuspectRequests& suspects;
   ServiceReach& reach;
   RelayChoice& relays;
+  HedgePermits& hedges;
   // The process ends: calls that still wait for targets are answered now.
   bool ending = false;
   // Of the bodies of answers that are being read.
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -110,6 +111,8 @@
   std::atomic<bool> has_leader{true};
   std::atomic<bool> grants_permits{true};
   std::atomic<int> permits_requested{0};
+  std::atomic<bool> grants_hedges{true};
+  std::atomic<int> hedges_requested{0};
   std::atomic<size_t> streams_recorded{0};
   std::atomic<int> leaving_reports{0};
 
@@ -124,6 +127,10 @@
       reply.mutable_target_permit()->set_granted(grants_permits);
       reply.mutable_target_permit()->set_wait_ms(grants_permits ? 0 : 2500);
     }
+    if (request.has_hedge_permit()) {
+      ++hedges_requested;
+      reply.mutable_hedge_permit()->set_granted(grants_hedges);
+    }
     leaving_reports += request.has_target_leaving() ? 1 : 0;
     if (request.has_stream_begun()) {
       stream_origins_[request.stream_begun().attempt()] =
@@ -541,6 +548,146 @@
 
 namespace {
 
+// Two targets, of which the one that gets the next request can be stalled.
+class HedgedFixture {
+ public:
+  explicit HedgedFixture(std::optional<HedgingSettings> hedging) {
+    fixture.settings.hedging = hedging;
+    fixture.control->AddTarget("i-1", first_.endpoint());
+    fixture.control->AddTarget("i-2", second_.endpoint());
+    fixture.control->Start();
+    fixture.Start();
+    cr_assert(fixture.WaitUntilReady(true));
+  }
+  ~HedgedFixture() { Release(); }
+
+  // Enough answers for a hedge delay.
+  void WarmUp() const {
+    for (size_t i = 0; i < HedgeDelay::kMinSamples + 16; ++i) {
+      cr_assert(StatusOf(fixture.Call(Post("/l/x"))) == "200");
+    }
+  }
+  void StallNext() { stalls_next_ = true; }
+  void Release() { released_ = true; }
+  bool is_stalled() const { return stalled_; }
+  int calls() const { return first_.calls + second_.calls; }
+  std::string Metrics() const {
+    return Exchange(fixture.settings.metrics,
+                    "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+
+  GatewayFixture fixture;
+
+ private:
+  HttpResponse Answer(const HttpRequest& request) {
+    if (stalls_next_.exchange(false)) {
+      stalled_ = true;
+      while (!released_) {
+        std::this_thread::sleep_for(milliseconds(2));
+      }
+    }
+    return SignedAnswer(request, kAttemptId);
+  }
+
+  std::atomic<bool> stalls_next_{false};
+  std::atomic<bool> stalled_{false};
+  std::atomic<bool> released_{false};
+  FakeTarget first_{
+      [this](const HttpRequest& request) { return Answer(request); }};
+  FakeTarget second_{
+      [this](const HttpRequest& request) { return Answer(request); }};
+};
+
+}  // namespace
+
+// Guards against a change for deployments that do not set a limit.
+Test(gateway, without_the_setting_hedges_need_no_permit) {
+  HedgedFixture hedged(std::nullopt);
+  hedged.WarmUp();
+  hedged.StallNext();
+  cr_assert(StatusOf(hedged.fixture.Call(Post("/l/x"))) == "200",
+            "the request was not hedged");
+  cr_assert(hedged.is_stalled());
+  cr_assert_eq(hedged.fixture.control->hedges_requested, 0);
+  cr_assert(hedged.Metrics().find("limpethatch_hedge_permits") ==
+            std::string::npos);
+}
+
+Test(gateway, a_late_request_is_hedged_with_a_permit) {
+  HedgedFixture hedged(HedgingSettings{.extra_work = 0.02});
+  hedged.WarmUp();
+  hedged.StallNext();
+  cr_assert(StatusOf(hedged.fixture.Call(Post("/l/x"))) == "200",
+            "the request was not hedged: %s", hedged.Metrics().c_str());
+  cr_assert(hedged.is_stalled());
+  cr_assert(hedged.fixture.control->hedges_requested > 0);
+  cr_assert(hedged.Metrics().find("limpethatch_hedges_won_total 0\n") ==
+            std::string::npos);
+}
+
+Test(gateway, a_denied_hedge_is_not_sent) {
+  HedgedFixture hedged(HedgingSettings{.extra_work = 0.02});
+  hedged.fixture.control->grants_hedges = false;
+  hedged.WarmUp();
+  const int calls_before = hedged.calls();
+  const int asked_before = hedged.fixture.control->hedges_requested;
+  hedged.StallNext();
+  std::thread release([&] {
+    // Denied twice, so that the first denial did not end the asking.
+    while (hedged.fixture.control->hedges_requested < asked_before + 2) {
+      std::this_thread::sleep_for(milliseconds(2));
+    }
+    hedged.Release();
+  });
+  const std::string answer = hedged.fixture.Call(Post("/l/x"));
+  release.join();
+  cr_assert(StatusOf(answer) == "200", "%s", answer.c_str());
+  cr_assert_eq(hedged.calls(), calls_before + 1);
+  cr_assert(hedged.Metrics().find("limpethatch_hedges_total 0\n") !=
+            std::string::npos);
+}
+
+// A limit of 0 and a route that may not be repeated: the answer of the stalled
+// target is the only one.
+Test(gateway, a_hard_stop_and_orders_are_never_hedged) {
+  for (const bool is_order : {false, true}) {
+    HedgedFixture hedged(HedgingSettings{.extra_work = is_order ? 0.2 : 0});
+    hedged.WarmUp();
+    const int calls_before = hedged.calls();
+    const int asked_before = hedged.fixture.control->hedges_requested;
+    hedged.StallNext();
+    std::thread release([&] {
+      while (!hedged.is_stalled()) {
+        std::this_thread::sleep_for(milliseconds(2));
+      }
+      // Longer than the hedge delay without the setting.
+      std::this_thread::sleep_for(milliseconds(200));
+      hedged.Release();
+    });
+    const std::string answer =
+        hedged.fixture.Call(Post(is_order ? "/o/x" : "/l/x"));
+    release.join();
+    cr_assert(StatusOf(answer) == "200", "%s", answer.c_str());
+    cr_assert_eq(hedged.calls(), calls_before + 1);
+    cr_assert_eq(hedged.fixture.control->hedges_requested, asked_before);
+  }
+}
+
+// The answer of the loser is the same moment's: the caller gets one answer, and
+// both attempts end.
+Test(gateway,
+     a_hedge_and_its_first_attempt_that_answer_at_once_give_one_answer) {
+  HedgedFixture hedged(HedgingSettings{.extra_work = 0.02});
+  hedged.WarmUp();
+  for (int i = 0; i < 50; ++i) {
+    const std::string answer = hedged.fixture.Call(Post("/l/x"));
+    cr_assert(StatusOf(answer) == "200", "%s", answer.c_str());
+    cr_assert(answer.find("HTTP/1.1", 1) == std::string::npos);
+  }
+}
+
+namespace {
+
 // Two gateways of one control instance, which are stopped and started together.
 class GatewayPair {
  public:
--- a/tests/request/live_attempts_test.cc
+++ b/tests/request/live_attempts_test.cc
@@ -97,4 +97,80 @@
   }));
 }
 
+namespace {
+
+LiveAttempts WithPermits() {
+  return LiveAttempts({.idempotent = true,
+                       .max_attempts = 2,
+                       .deadline = kStart + milliseconds(800),
+                       .hedge_after = milliseconds(75),
+                       .hedges_need_permit = true});
+}
+
+}  // namespace
+
+Test(live_attempts, a_hedge_with_a_limit_is_sent_only_with_a_permit) {
+  LiveAttempts attempts = WithPermits();
+  cr_assert(attempts.Next(true, kStart).kind == Kind::kSend);
+  attempts.Sent(kStart);
+  const TimePoint late = kStart + milliseconds(75);
+  cr_assert(attempts.Next(false, late).kind == Kind::kWait,
+            "a permit was asked for although all other targets are full");
+  cr_assert(attempts.Next(true, late).kind == Kind::kAskPermit);
+  attempts.PermitAsked(late);
+  cr_assert(attempts.Next(true, late + milliseconds(1)).kind == Kind::kWait);
+  attempts.PermitAnswered(true, late + milliseconds(2));
+  cr_assert(attempts.Next(true, late + milliseconds(2)).kind == Kind::kSend);
+  attempts.Sent(late + milliseconds(2));
+  cr_assert(attempts.Next(true, late + milliseconds(300)).kind == Kind::kWait,
+            "more targets were tried than max_attempts allows");
+}
+
+// Guards against a query for each check of a request that was denied a hedge.
+Test(live_attempts, a_denied_permit_is_asked_for_again_after_the_delay) {
+  LiveAttempts attempts = WithPermits();
+  attempts.Sent(kStart);
+  const TimePoint late = kStart + milliseconds(75);
+  attempts.PermitAsked(late);
+  attempts.PermitAnswered(false, late + milliseconds(2));
+  const LiveAction wait = attempts.Next(true, late + milliseconds(2));
+  cr_assert(wait.kind == Kind::kWait);
+  cr_assert(wait.until == late + milliseconds(77));
+  cr_assert(attempts.Next(true, wait.until).kind == Kind::kAskPermit);
+}
+
+Test(live_attempts, a_permit_that_comes_late_is_not_used) {
+  LiveAttempts attempts = WithPermits();
+  attempts.Sent(kStart);
+  const TimePoint late = kStart + milliseconds(75);
+  attempts.PermitAsked(late);
+  const TimePoint answered = late + LiveAttempts::kMaxPermitWait;
+  attempts.PermitAnswered(true, answered + milliseconds(1));
+  cr_assert(attempts.Next(true, answered + milliseconds(1)).kind ==
+            Kind::kWait);
+}
+
+// A retry replaces a failed attempt, so it is no extra work.
+Test(live_attempts, a_retry_needs_no_permit_while_hedges_do) {
+  LiveAttempts attempts = WithPermits();
+  attempts.Sent(kStart);
+  attempts.PermitAsked(kStart + milliseconds(75));
+  attempts.Ended(AttemptResult::kFailed);
+  cr_assert(attempts.Next(true, kStart + milliseconds(76)).kind == Kind::kSend);
+}
+
+Test(live_attempts, no_permit_is_asked_for_what_may_not_be_hedged) {
+  for (const bool idempotent : {false, true}) {
+    LiveAttempts attempts({.idempotent = idempotent,
+                           .max_attempts = 2,
+                           .deadline = kStart + seconds(1),
+                           .hedge_after = milliseconds(1),
+                           .hedges_need_permit = true,
+                           .may_hedge = !idempotent});
+    attempts.Sent(kStart);
+    cr_assert(attempts.Next(true, kStart + milliseconds(500)).kind ==
+              Kind::kWait);
+  }
+}
+
 }  // namespace limpethatch
