Explain where a gateway would send a request

Operators could only find out from logs, afterwards, which target a request got.

`limpethatchctl where HOST/PATH` asks a gateway at its metrics listener. The gateway's route table and router decide on a copy of its targets, so asking sends nothing and changes nothing. It prints the instance, the age of its news, the route, the service, each target with what excludes it from first attempts and hedges, the hedge delay, and the choice or the refusal.

The tests of gateway, request and ctl pass. The printed table was checked on a hand-written answer only.

--- a/src/limpethatch/request/hedging/slot_reports.cc
+++ b/src/limpethatch/request/hedging/slot_reports.cc
@@ -29,6 +29,13 @@
          uint64_t{report.others_running} + own < slots;
 }
 
+std::optional<Duration> SlotReports::ReportAge(std::string_view target,
+                                               TimePoint now) const {
+  const auto found = reports_.find(target);
+  return found == reports_.end() ? std::nullopt
+                                 : std::optional(now - found->second.at);
+}
+
 std::vector<std::string> SlotReports::FindFull(const TargetTable& targets,
                                                std::string_view service,
                                                TimePoint now) const {
--- a/src/limpethatch/request/hedging/slot_reports.h
+++ b/src/limpethatch/request/hedging/slot_reports.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,6 +31,9 @@
   // Whether a hedge would run at once. A target that never stated its load is
   // judged by this gateway's calls alone.
   bool HasFreeSlot(const RoutedTarget& target, TimePoint now) const;
+  // How old the target's report is; nullopt if it never stated its load.
+  std::optional<Duration> ReportAge(std::string_view target,
+                                    TimePoint now) const;
   // The ids of the service's targets without a free slot.
   std::vector<std::string> FindFull(const TargetTable& targets,
                                     std::string_view service,
--- a/src/limpethatch/request/target.cc
+++ b/src/limpethatch/request/target.cc
@@ -69,6 +69,32 @@
   }
 }
 
+TargetTable TargetTable::Copy() const {
+  TargetTable copy;
+  for (const auto& [id, routed] : targets_) {
+    auto own = std::make_shared<RoutedTarget>(*routed);
+    own->stats = std::make_shared<TargetStats>();
+    own->stats->CopyFrom(*routed->stats);
+    copy.targets_.emplace(id, std::move(own));
+  }
+  copy.services_ = services_;
+  const auto replace = [&](std::vector<RoutedTargetPtr>& targets) {
+    for (RoutedTargetPtr& target : targets) {
+      target = copy.targets_.find(target->target.id)->second;
+    }
+  };
+  for (auto& [name, service] : copy.services_) {
+    replace(service.all);
+    for (auto& [zone, targets] : service.by_zone) {
+      replace(targets);
+    }
+    auto group = std::make_shared<TargetGroup>();
+    group->CopyFrom(*service.group);
+    service.group = std::move(group);
+  }
+  return copy;
+}
+
 const ServiceTargets* TargetTable::Find(std::string_view service) const {
   const auto found = services_.find(service);
   return found == services_.end() ? nullptr : &found->second;
--- a/src/limpethatch/request/target.h
+++ b/src/limpethatch/request/target.h
@@ -67,6 +67,10 @@
   // unchanged. `previous` may be null.
   TargetTable(std::vector<Target> targets, const TargetTable* previous);
 
+  // A copy with statistics of its own, so that choices from it change nothing
+  // here.
+  TargetTable Copy() const;
+
   // Returns null if the service has no target that accepts new work.
   const ServiceTargets* Find(std::string_view service) const;
   // All targets by id, including leaving ones.
--- a/src/limpethatch/request/target_group.cc
+++ b/src/limpethatch/request/target_group.cc
@@ -146,4 +146,18 @@
   return true;
 }
 
+void TargetGroup::CopyFrom(const TargetGroup& other) {
+  const auto copy = [](auto& to, const auto& from) {
+    to.store(from.load(std::memory_order_relaxed), std::memory_order_relaxed);
+  };
+  for (size_t i = 0; i < kRequestClasses; ++i) {
+    copy(typical_latency_s_[i], other.typical_latency_s_[i]);
+    copy(best_typical_s_[i], other.best_typical_s_[i]);
+  }
+  copy(typical_failure_share_, other.typical_failure_share_);
+  copy(next_refresh_, other.next_refresh_);
+  copy(ejected_, other.ejected_);
+  copy(choices_since_probe_, other.choices_since_probe_);
+}
+
 }  // namespace limpethatch
--- a/src/limpethatch/request/target_group.h
+++ b/src/limpethatch/request/target_group.h
@@ -39,6 +39,9 @@
   // not affect the 99th percentile of latency.
   bool ProbeAllowed();
 
+  // Takes over all figures of `other`, which may be updated meanwhile.
+  void CopyFrom(const TargetGroup& other);
+
  private:
   void UpdateTypical(std::span<TargetStats* const> peers);
   double WorstSlowness(const TargetStats& stats) const;
--- a/src/limpethatch/request/target_stats.cc
+++ b/src/limpethatch/request/target_stats.cc
@@ -178,4 +178,26 @@
       std::memory_order_relaxed);
 }
 
+void TargetStats::CopyFrom(const TargetStats& other) {
+  const auto copy = [](auto& to, const auto& from) {
+    to.store(from.load(std::memory_order_relaxed), std::memory_order_relaxed);
+  };
+  copy(outstanding_, other.outstanding_);
+  copy(rollouts_outstanding_, other.rollouts_outstanding_);
+  for (size_t i = 0; i < estimates_.size(); ++i) {
+    copy(estimates_[i].latency_s, other.estimates_[i].latency_s);
+    copy(estimates_[i].samples, other.estimates_[i].samples);
+  }
+  copy(failure_share_, other.failure_share_);
+  copy(ejected_, other.ejected_);
+  copy(last_probe_, other.last_probe_);
+  copy(borrowed_, other.borrowed_);
+  copy(free_since_, other.free_since_);
+  copy(last_borrow_, other.last_borrow_);
+  copy(last_return_, other.last_return_);
+  for (size_t i = 0; i < history_.size(); ++i) {
+    copy(history_[i], other.history_[i]);
+  }
+}
+
 }  // namespace limpethatch
--- a/src/limpethatch/request/target_stats.h
+++ b/src/limpethatch/request/target_stats.h
@@ -79,6 +79,9 @@
   void BorrowSlot(TimePoint stamp);
   void ReturnSlot(TimePoint stamp);
 
+  // Takes over all figures of `other`, which may be updated meanwhile.
+  void CopyFrom(const TargetStats& other);
+
   static constexpr Duration kHistoryTick = std::chrono::milliseconds(250);
   static constexpr size_t kHistoryTicks = 32;
 
--- a/src/programs/ctl/commands.h
+++ b/src/programs/ctl/commands.h
@@ -21,6 +21,7 @@
   std::string author;
   bool allow_disruption = false;
   std::string html;  // Path of the HTML report; empty for none.
+  uint64_t body_bytes = 0;
   std::string logs;  // Directory with the logs of all processes.
 };
 
@@ -40,6 +41,9 @@
 int Drain(const CommandOptions& options);
 // Shows what happened to a request, job, sample or configuration, from logs.
 int ExplainId(const CommandOptions& options);
+// Shows where a gateway would send a request now, and why. The instances are
+// metrics listeners of gateways.
+int Where(const CommandOptions& options);
 // Prints the completion script for bash.
 int Completion(const CommandOptions& options);
 
--- a/src/programs/ctl/completion_command.cc
+++ b/src/programs/ctl/completion_command.cc
@@ -7,9 +7,10 @@
 
 constexpr const char* kBashCompletion = R"(_limpethatchctl() {
   local current="${COMP_WORDS[COMP_CWORD]}"
-  local commands="check diff apply status history burn drain explain completion"
+  local commands="check diff apply status history burn drain explain where
+    completion"
   local options="--at --key-file --timeout --format --expect-version
-    --change-id --author --allow-disruption --html --help --version"
+    --body-bytes --change-id --author --allow-disruption --html --help --version"
   if [[ $current == -* ]]; then
     COMPREPLY=($(compgen -W "$options" -- "$current"))
   elif [[ $COMP_CWORD -eq 1 ]]; then
--- a/src/programs/ctl/main.cc
+++ b/src/programs/ctl/main.cc
@@ -31,6 +31,9 @@
   burn          error budgets and their burn rates
   explain ID    what happened to a request, batch job or sample, or to
                 configuration/VERSION, from the logs in --logs DIR
+  where HOST/PATH
+                where the gateway called would send a request, and why; --at is
+                its metrics listener
   drain         start a graceful shutdown of the instance called
   completion    print the completion script for bash
 
@@ -59,9 +62,10 @@
 
 const std::map<std::string, Command>& Commands() {
   static const std::map<std::string, Command> commands{
-      {"check", Check},   {"diff", Diff},         {"apply", Apply},
-      {"status", Status}, {"history", History},   {"burn", Burn},
-      {"drain", Drain},   {"explain", ExplainId}, {"completion", Completion}};
+      {"check", Check},          {"diff", Diff},         {"apply", Apply},
+      {"status", Status},        {"history", History},   {"burn", Burn},
+      {"drain", Drain},          {"explain", ExplainId}, {"where", Where},
+      {"completion", Completion}};
   return commands;
 }
 
@@ -91,6 +95,9 @@
       "also write the report as an HTML page");
   add("logs", options::value(&arguments->options.logs)->value_name("DIR"),
       "directory with the logs of all processes, for explain");
+  add("body-bytes",
+      options::value(&arguments->options.body_bytes)->value_name("N"),
+      "size of the request's body, for where");
   add("help", "print this help and exit");
   add("version", "print the version and exit");
   return description;
@@ -167,6 +174,10 @@
     fmt::print(stderr, "{} needs a FILE\n", command);
     return false;
   }
+  if (command == "where" && arguments.file.empty()) {
+    fmt::print(stderr, "where needs a HOST/PATH\n");
+    return false;
+  }
   if (command == "explain" &&
       (arguments.file.empty() || arguments.options.logs.empty())) {
     fmt::print(stderr, "explain needs an ID and --logs DIR\n");
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -9,6 +9,7 @@
 #include "limpethatch/process/log.h"
 #include "limpethatch/version/job_page.h"
 #include "platform/gateway_api.h"
+#include "programs/gateway/where.h"
 
 namespace limpethatch {
 namespace {
@@ -412,6 +413,18 @@
 }
 
 void Gateway::ServeMetrics(HttpExchange& exchange) {
+  const TimePoint now = Clock::now();
+  if (exchange.request().path == kWherePath) {
+    exchange.Respond(ExplainWhere(exchange.request(),
+                                  {.context = live_call_context_,
+                                   .subscriber = fleet_subscriber_,
+                                   .instance = settings_.process.id,
+                                   .zone = settings_.process.zone,
+                                   .is_ready = IsReady(),
+                                   .random = random_()},
+                                  now));
+    return;
+  }
   HttpResponse response;
   response.headers.Set("Content-Type", "text/plain; version=0.0.4");
   response.body = metrics_.Text(
--- a/src/programs/gateway/gateway.h
+++ b/src/programs/gateway/gateway.h
@@ -72,6 +72,7 @@
   // Starts an orderly stop; further calls have no effect.
   void Stop();
   void ExitWhenIdle(TimePoint deadline);
+  // Serves the metrics, and explanations of where a request would go.
   void ServeMetrics(HttpExchange& exchange);
   // Serves a request that another gateway hands to this one.
   void ServeForGateway(HttpExchange& exchange);
--- a/src/programs/gateway/hedge_permits.cc
+++ b/src/programs/gateway/hedge_permits.cc
@@ -28,6 +28,17 @@
   return routes_[route].delay.Get(now);
 }
 
+std::optional<HedgeDelay::Figures> HedgePermits::PeekFigures(
+    const std::string& route,
+    TimePoint now) const {
+  const auto found = routes_.find(route);
+  if (!settings_ || settings_->extra_work <= 0 || found == routes_.end()) {
+    return std::nullopt;
+  }
+  HedgeDelay copy = found->second.delay;
+  return copy.Get(now);
+}
+
 void HedgePermits::ExcludeFullTargets(const TargetTable& targets,
                                       std::string_view service,
                                       TimePoint now,
--- a/src/programs/gateway/hedge_permits.h
+++ b/src/programs/gateway/hedge_permits.h
@@ -52,6 +52,10 @@
   // nullopt if it gets no hedge.
   std::optional<HedgeDelay::Figures> Figures(const std::string& route,
                                              TimePoint now);
+  // The same without a change to what is kept.
+  std::optional<HedgeDelay::Figures> PeekFigures(const std::string& route,
+                                                 TimePoint now) const;
+  const SlotReports& slots() const { return slots_; }
   // Adds the ids of the service's targets that have no free slot.
   void ExcludeFullTargets(const TargetTable& targets,
                           std::string_view service,
--- a/src/programs/gateway/live_call_plan.cc
+++ b/src/programs/gateway/live_call_plan.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 
 namespace limpethatch {
 namespace {
@@ -10,13 +11,12 @@
 // divided by this.
 constexpr int kHedgeDivisor = 2;
 
-}  // namespace
-
-LiveCallPlan MakeLiveCallPlan(const wire::Route& route,
-                              LiveCallOrigin origin,
-                              HedgePermits& hedges,
-                              TimePoint deadline,
-                              TimePoint now) {
+template <typename GetFigures>
+LiveCallPlan MakePlan(const wire::Route& route,
+                      LiveCallOrigin origin,
+                      bool hedges_need_permit,
+                      TimePoint deadline,
+                      GetFigures get_figures) {
   LiveCallPlan plan;
   LiveAttemptsOptions& options = plan.attempts;
   options.idempotent = route.kind() == wire::ROUTE_IDEMPOTENT;
@@ -29,7 +29,7 @@
         std::chrono::milliseconds(route.target_latency_ms()) / kHedgeDivisor;
   }
   plan.usual_hedge_after = options.hedge_after;
-  if (!hedges.enabled()) {
+  if (!hedges_need_permit) {
     return plan;
   }
   options.hedges_need_permit = true;
@@ -37,7 +37,7 @@
   if (!options.idempotent || options.max_attempts < 2) {
     return plan;
   }
-  if (const auto figures = hedges.Figures(route.name(), now)) {
+  if (const std::optional<HedgeDelay::Figures> figures = get_figures()) {
     options.may_hedge = true;
     options.hedge_after = figures->delay;
     plan.hedge_cost = figures->median;
@@ -45,4 +45,23 @@
   return plan;
 }
 
+}  // namespace
+
+LiveCallPlan MakeLiveCallPlan(const wire::Route& route,
+                              LiveCallOrigin origin,
+                              HedgePermits& hedges,
+                              TimePoint deadline,
+                              TimePoint now) {
+  return MakePlan(route, origin, hedges.enabled(), deadline,
+                  [&] { return hedges.Figures(route.name(), now); });
+}
+
+LiveCallPlan PeekLiveCallPlan(const wire::Route& route,
+                              const HedgePermits& hedges,
+                              TimePoint now) {
+  return MakePlan(route, LiveCallOrigin::kCaller, hedges.enabled(),
+                  now + std::chrono::milliseconds(route.timeout_ms()),
+                  [&] { return hedges.PeekFigures(route.name(), now); });
+}
+
 }  // namespace limpethatch
--- a/src/programs/gateway/live_call_plan.h
+++ b/src/programs/gateway/live_call_plan.h
@@ -23,6 +23,10 @@
                               HedgePermits& hedges,
                               TimePoint deadline,
                               TimePoint now);
+// The same plan of a caller's request, without a change to what `hedges` keeps.
+LiveCallPlan PeekLiveCallPlan(const wire::Route& route,
+                              const HedgePermits& hedges,
+                              TimePoint now);
 
 }  // namespace limpethatch
 
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -673,6 +673,55 @@
   }
 }
 
+namespace {
+
+std::string AskWhere(const GatewayFixture& fixture, const std::string& query) {
+  return Exchange(fixture.settings.metrics,
+                  "POST /where HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                      std::to_string(query.size()) + "\r\n\r\n" + query);
+}
+
+}  // namespace
+
+// Guards against an explanation that sends the request, or that differs from
+// what happens to it.
+Test(gateway, where_names_the_candidates_and_the_choice_without_a_call) {
+  HedgedFixture hedged(HedgingSettings{.extra_work = 0.02});
+  hedged.WarmUp();
+  const int calls = hedged.calls();
+  const std::string answer =
+      AskWhere(hedged.fixture,
+               R"({"host":"shop.example","path":"/l/x","body_bytes":4})");
+  cr_assert(StatusOf(answer) == "200", "%s", answer.c_str());
+  for (const char* part :
+       {R"("instance":"gateway")", R"("quorum_contact_age_ms":)",
+        R"("configuration_version":3)", R"("configuration_current":true)",
+        R"("route":"lookup")", R"("service":"desk")", R"("target":"i-1")",
+        R"("target":"i-2")", R"("excluded_by":[])", R"("choice":"i-)",
+        R"("delay_ms":)", R"("possible":true)"}) {
+    cr_assert(answer.find(part) != std::string::npos, "%s in %s", part,
+              answer.c_str());
+  }
+  cr_assert(answer.find("refused") == std::string::npos);
+  cr_assert_eq(hedged.calls(), calls);
+}
+
+Test(gateway, where_says_why_a_request_would_be_refused) {
+  HedgedFixture hedged(HedgingSettings{.extra_work = 0});
+  const auto ask = [&](const std::string& query) {
+    return AskWhere(hedged.fixture, query);
+  };
+  cr_assert(ask(R"({"host":"shop.example","path":"/other"})")
+                .find(R"("refused":"no_route")") != std::string::npos);
+  cr_assert(ask(R"({"host":"shop.example","path":"/l/x","body_bytes":101})")
+                .find(R"("refused":"body_too_large")") != std::string::npos);
+  cr_assert(ask(R"({"host":"shop.example","path":"/l/x"})")
+                    .find(R"("possible":false)") != std::string::npos,
+            "a hard stop still hedges");
+  cr_assert(StatusOf(ask("{")) == "400");
+  cr_assert(StatusOf(ask(R"({"host":"shop.example"})")) == "400");
+}
+
 // Guards against two answers to one caller, and against an attempt that its
 // winner leaves open.
 Test(gateway, attempts_that_are_answered_at_once_give_the_caller_one_answer) {
--- a/tests/request/router_test.cc
+++ b/tests/request/router_test.cc
@@ -349,6 +349,25 @@
   cr_assert_gt(rollout_s, 0.8 * 9 * 6 * scenario.seconds);
 }
 
+// An explanation of a choice must not use up probes or count as a call.
+Test(target_table, choices_from_a_copy_do_not_change_the_table) {
+  const TargetTable table(MakeTargets(3, 1), nullptr);
+  const RoutedTarget& target = *table.FindTarget("0");
+  CallTicket call(target, RequestClass::kLookup, AtSeconds(0));
+  TargetTable copy = table.Copy();
+  const RoutedTarget& copied = *copy.FindTarget("0");
+  cr_assert_eq(copied.stats->outstanding(), 1);
+  cr_assert_eq(copy.Find("service")->all.size(), 3);
+  cr_assert(copy.Find("service")->by_zone.at("zone-0")[0].get() ==
+            copy.FindTarget(copy.Find("service")->all[0]->target.id));
+  copied.stats->Begin(RequestClass::kLookup, AtSeconds(1));
+  copied.stats->set_ejected(true, AtSeconds(1));
+  cr_assert(copy.Find("service")->group->TryClaimRefresh(AtSeconds(2)));
+  cr_assert_eq(target.stats->outstanding(), 1);
+  cr_assert(!target.stats->ejected());
+  cr_assert(table.Find("service")->group->TryClaimRefresh(AtSeconds(2)));
+}
+
 Test(target_table, keeps_statistics_until_a_new_incarnation) {
   std::vector<Target> targets = {MakeTarget(0)};
   const TargetTable first(targets, nullptr);
