--- a/src/limpethatch/request/target_stats.h
+++ b/src/limpethatch/request/target_stats.h
@@ -23,6 +23,9 @@
   kAnswered,   // A complete answer, whatever its status.
   kFailed,     // The target failed, was overloaded or stopped responding.
   kCancelled,  // The caller gave up; tells nothing about the target.
+  // A later attempt of the request was answered first: its latency would have
+  // been longer. Without these, hedges would hide a slow target from routing.
+  kOvertaken,
 };
 
 // Lock-free and thread-safe: updated by all threads of the request path. Shared
@@ -76,6 +79,9 @@
   void BorrowSlot(TimePoint stamp);
   void ReturnSlot(TimePoint stamp);
 
+  // Takes over all figures of `other`, which may be updated meanwhile.
+  void CopyFrom(const TargetStats& other);
+
   static constexpr Duration kHistoryTick = std::chrono::milliseconds(250);
   static constexpr size_t kHistoryTicks = 32;
 
--- a/src/programs/control/fleet_leader.cc
+++ b/src/programs/control/fleet_leader.cc
@@ -36,6 +36,7 @@
   if (usage_reporter_) {
     usage_reporter_->OnLeadershipChange();
   }
+  hedge_budget_ = {};
   if (leading) {
     previous_leader_ = last_leader_;
     leading_since_ = Clock::now();
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -285,7 +285,7 @@
       !request.has_job_body() && !request.has_target_rate() &&
       !request.has_target_permit() && !request.has_stream_begun() &&
       !request.has_stream_origin() && !request.has_target_leaving() &&
-      !request.has_usage_counts()) {
+      !request.has_usage_counts() && !request.has_hedge_permit()) {
     return false;
   }
   if (!replica_.consensus() || !replica_.consensus()->leading()) {
@@ -298,6 +298,8 @@
     AnswerRateReport(request);
   } else if (request.has_target_permit()) {
     AnswerPermitQuery(request);
+  } else if (request.has_hedge_permit()) {
+    AnswerHedgePermitQuery(request);
   } else if (request.has_stream_begun()) {
     RecordStreamOrigin(request);
   } else if (request.has_stream_origin()) {
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -11,6 +11,7 @@
 #include "limpethatch/version/job_page.h"
 #include "platform/caller_check.h"
 #include "platform/gateway_api.h"
+#include "programs/gateway/where.h"
 
 namespace limpethatch {
 namespace {
@@ -121,6 +122,7 @@
       leaving_targets_(io_, control_client_, fleet_subscriber_),
       suspect_requests_(io_, control_client_, fleet_subscriber_.targets()),
       relay_choice_(settings.process.zone),
+      hedge_permits_(io_, control_client_, settings.hedging),
       target_client_(
           io_,
           HttpClientOptions{.translation = settings.process.address_translation,
@@ -185,7 +187,8 @@
                          usage_counter_,
                          wall_clock_,
                          target_probes_,
-                         *client_memory_},
+                         *client_memory_,
+                         hedge_permits_},
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       settings_watcher_(timers_, settings_path_, [this] { Reload(); }),
       event_loop_monitor_(timers_, kEventLoopCheckPeriod) {}
@@ -485,12 +488,24 @@
 }
 
 void Gateway::ServeMetrics(HttpExchange& exchange) {
+  const TimePoint now = Clock::now();
+  if (exchange.request().path == kWherePath) {
+    exchange.Respond(ExplainWhere(exchange.request(),
+                                  {.context = live_call_context_,
+                                   .subscriber = fleet_subscriber_,
+                                   .instance = settings_.process.id,
+                                   .zone = settings_.process.zone,
+                                   .is_ready = IsReady(),
+                                   .random = random_()},
+                                  now));
+    return;
+  }
   HttpResponse response;
   response.headers.Set("Content-Type", "text/plain; version=0.0.4");
   response.body = metrics_.Text(
       fleet_subscriber_.routes() ? fleet_subscriber_.routes()->version() : 0,
       fleet_subscriber_.targets().targets().size(),
-      fleet_subscriber_.has_quorum_contact());
+      fleet_subscriber_.has_quorum_contact(), hedge_permits_);
   MetricsText clients;
   client_memory_->Write(&clients);
   response.body += clients.text();
--- a/src/programs/gateway/gateway.h
+++ b/src/programs/gateway/gateway.h
@@ -24,6 +24,7 @@
 #include "programs/gateway/fleet_subscriber.h"
 #include "programs/gateway/gateway_metrics.h"
 #include "programs/gateway/gateway_settings.h"
+#include "programs/gateway/hedge_permits.h"
 #include "programs/gateway/leaving_targets.h"
 #include "programs/gateway/live_call.h"
 #include "programs/gateway/stream_directory.h"
@@ -83,6 +84,7 @@
   void ExitWhenIdle(TimePoint deadline);
   // Sends the remaining usage counts and stops the event loop.
   void Exit();
+  // Serves the metrics, and explanations of where a request would go.
   void ServeMetrics(HttpExchange& exchange);
   // Serves a request that another gateway hands to this one.
   void ServeForGateway(HttpExchange& exchange);
@@ -104,6 +106,7 @@
   LeavingTargets leaving_targets_;
   SuspectRequests suspect_requests_;
   RelayChoice relay_choice_;
+  HedgePermits hedge_permits_;
   HttpClient target_client_;
   const std::shared_ptr<ClientMemory> client_memory_;
   HttpServer caller_server_;
--- a/src/programs/gateway/live_attempt.cc
+++ b/src/programs/gateway/live_attempt.cc
@@ -112,7 +112,10 @@
   if (answer.response.status < kFirstClientError && !is_signed) {
     return Failure{AttemptResult::kUnknown, "unsigned_answer", {}};
   }
-  state.answer = std::move(answer);
+  // Another attempt may have been answered a moment earlier.
+  if (!state.answer) {
+    state.answer = std::move(answer);
+  }
   return std::nullopt;
 }
 
@@ -152,6 +155,8 @@
   if (!answer_headers.misdirected) {
     context.permits.OnAnswer(target, answer_headers.rate_limit);
     RecordLoad(context, routed, answer_headers, stream.status());
+    context.hedges.OnLoad(routed, answer_headers.running,
+                          answer_headers.waiting);
   }
   if (answer_headers.leaving) {
     context.leaving.OnLeaving(target.id, target.incarnation);
@@ -248,6 +253,7 @@
                 LiveCallState& state,
                 size_t attempt,
                 const RoutedTarget& routed,
+                const AttemptRole& role,
                 const HttpRequest& request,
                 const HttpCallOptions& options) {
   if (state.finished) {
@@ -274,13 +280,24 @@
           : ConnectionFailure(outcome.error, outcome.progress);
   UpdateUsage(state, attempt, failure);
   RecordEnd(routed, !failure, started_at);
+  context.hedges.OnAttemptEnded(
+      state.route, role,
+      {.may_have_run = !failure || failure->result != AttemptResult::kNotRun,
+       .is_latency = !failure || (state.finished && state.answer),
+       .is_answer =
+           !failure && state.answer && state.answer->target == target.id,
+       .took = Clock::now() - started_at});
   const bool may_have_run =
       failure && failure->result == AttemptResult::kUnknown && failure->error;
   if (state.finished) {
     if (may_have_run && !state.answer) {
       context.suspects.OnNoAnswer(state.content, target);
     }
-    return;  // The destructor of the ticket records the call as cancelled.
+    if (context.hedges.enabled() && state.answer &&
+        role.kind != AttemptRole::Kind::kHedge) {
+      ticket.Finish(CallOutcome::kOvertaken, Clock::now());
+    }
+    return;  // Else the destructor of the ticket records it as cancelled.
   }
   if (may_have_run) {
     if (failure->error == HttpError::kConnectionLost) {
@@ -327,14 +344,15 @@
 void RunTargetAttempt(LiveCallContext& context,
                       const StatePtr& state,
                       const RoutedTarget& target,
+                      AttemptRole role,
                       HttpRequest request,
                       HttpCallOptions options) {
   options.connect_timeout = kConnectTimeout;
   options.max_body_bytes = kMaxAnswerBytes;
   Spawn(context.io, [&context, state, attempt = state->attempts.size() - 1,
-                     target, request = std::move(request),
+                     target, role, request = std::move(request),
                      options = std::move(options)](Yield yield) {
-    CallTarget(yield, context, *state, attempt, target, request, options);
+    CallTarget(yield, context, *state, attempt, target, role, request, options);
   });
 }
 
--- a/src/programs/gateway/live_call_context.h
+++ b/src/programs/gateway/live_call_context.h
@@ -12,6 +12,7 @@
 #include "limpethatch/request/router.h"
 #include "limpethatch/request/usage/usage_counter.h"
 #include "programs/gateway/gateway_metrics.h"
+#include "programs/gateway/hedge_permits.h"
 #include "programs/gateway/leaving_targets.h"
 #include "programs/gateway/relay_choice.h"
 #include "programs/gateway/service_reach.h"
@@ -40,6 +41,7 @@
   const WallClock& wall_clock;
   TargetProbes& probes;
   ClientMemory& memory;
+  HedgePermits& hedges;
   // The process ends: calls that still wait for targets are answered now.
   bool ending = false;
   // Of the bodies of answers that are being read.
