--- a/src/limpethatch/connection/internal/http_server_connection.cc
+++ b/src/limpethatch/connection/internal/http_server_connection.cc
@@ -23,8 +23,7 @@
 // Space for the whole body is allocated once a body of unknown size exceeds
 // this, as growing a text copies it. Memory counts once it is written to.
 constexpr size_t kBodyReserveThreshold = 256UL * 1024;
-// Memory of a connection with its coroutine and read buffer; about 6 KB and
-// 8 KB were measured.
+// Memory of a connection with its coroutine and read buffer.
 constexpr size_t kConnectionBytes = 16UL * 1024;
 // Memory of a header line besides its bytes: in the request, in the copy that
 // is forwarded, and in the lists of both.
