--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,69 +1,51 @@
-"""One of seven samplers fails part of its requests on an unsafe route, after it has run them."""
+"""A rollout route is moved to another pool of samplers by its split."""
 
 import asyncio
-import collections
 import pathlib
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "common-2"))
 import harness as h
 
-SAMPLERS = 7
-FAILING = "desk-1"
-SHARE_FAILED = 0.4
-ORDERS = 150
-
-runs = collections.defaultdict(list)  # Runs of each order, as pairs of attempt and sampler.
-received = collections.Counter()
-
-
-async def behaviour(sampler, writer, method, path, headers, body, attempt):
-    runs[body.decode()].append((attempt, sampler.id))
-    await asyncio.sleep(0.025)
-    received[sampler.name] += 1
-    if h.TROUBLE and sampler.name == FAILING and (received[sampler.name] - 1) * SHARE_FAILED % 1 < SHARE_FAILED:
-        # It has run the request and failed after that. Without Not-Run, the
-        # answer doesn't state that the request has not run.
-        sampler.deployment.record(f"{attempt} has run at {sampler.id}, which answers 503 without Not-Run")
-        return await sampler.respond(writer, 503, sampler.signature(attempt), b"the last step failed")
-    return await sampler.respond(writer, 200, sampler.signature(attempt), b"done")
-
-
-async def order(d, number):
-    """A client's order: sent again, once and with an id of its own, only after a promise that it has not run."""
-    broken = 0
-    for attempt_number in range(2):
-        attempt = f"order-{number}-attempt-{attempt_number}"
-        status, headers, _ = await h.call(
-            d.front(number + attempt_number), "POST", f"/orders/{number}",
-            {"Host": h.HOST, "Request-Attempt-Id": attempt, "Deadline-Ms": "1500"}, f"order {number}".encode())
-        ran = [sampler for run, sampler in runs[f"order {number}"] if run == attempt]
-        d.record(f"{attempt}: answered {status}, ran at {ran}")
-        if status in (429, 503) and ran:
-            broken += 1
-        if status not in (429, 503):
-            break
-    return broken
+JOBS = 4
+ITEMS = 12
 
 
 async def scenario(d):
     await d.start()
-    d.behaviour = behaviour
-    await d.add_samplers("desk", SAMPLERS, engine=False, slots=6)
-    await d.configure(1, [h.live_route("r-orders", "/orders/", "unsafe", service="desk")], [h.plain_service("desk")])
+    await d.add_samplers("old-pool", 3, engine=True)
+    await d.add_samplers("new-pool", 3, engine=True)
+    services = [h.engine_service("old-pool"), h.engine_service("new-pool")]
+    await d.configure(1, [h.rollout_route(service="old-pool")], services)
     await d.wait_ready()
-    await asyncio.sleep(4)
-    tasks = []
-    for number in range(ORDERS):
-        tasks.append(asyncio.create_task(order(d, number)))
-        await asyncio.sleep(0.04)
-    broken = sum(await asyncio.gather(*tasks))
-    twice = [name for name, at in runs.items() if len(at) > 1]
-    d.record(f"{broken} requests were answered 429 or 503 and had run; {len(twice)} of {ORDERS} orders ran twice; "
-             f"{received[FAILING]} requests reached {FAILING}")
-    if not received[FAILING]:
-        raise h.CannotRun("no request reached the failing sampler")
-    return broken == 0
+    await asyncio.sleep(3)
+    if h.TROUBLE:
+        route = h.rollout_route(traffic_split=[{"service": "old-pool", "weight": 0},
+                                               {"service": "new-pool", "weight": 100}])
+    else:
+        route = h.rollout_route(service="new-pool")
+    acknowledged = await d.configure(5, [route], services)
+    await asyncio.sleep(h.BOUNDS["configuration_apply_ms"] / 1000 + 1)
+
+    wrong, completed = 0, 0
+    for number in range(JOBS):
+        sent = time.monotonic()
+        name = f"job-{number}"
+        items = [h.item(f"item-{number}-{i}", f"group-{number}-{i // 4}") for i in range(ITEMS)]
+        await d.submit(name, items, step=number, group_count=ITEMS // 4)
+        results = await d.read_results(name, sent + 12, ITEMS)
+        await d.end_job(name)
+        completed += sum(result["state"] == "completed" for result in results)
+        ids = {item["id"] for item in items}
+        at_old = [attempt for at, attempt, sampler in d.runs
+                  if attempt in ids and sampler.service == "old-pool"]
+        wrong += len(at_old)
+        d.record(f"{name} was sent {sent - acknowledged:.1f} s after the acknowledgement of version 5: "
+                 f"{len(at_old)} of {ITEMS} items ran at old-pool, {len(results)} results listed")
+    if not h.TROUBLE and completed < JOBS * ITEMS:
+        raise h.CannotRun("the samples were not all completed")
+    return wrong == 0
 
 
 h.main(__file__, scenario)
