Keep running samples under which engines crashed

Cause: the scheduler left a sample out for good after five crashes, one of them while it ran alone. From two crashes on it always runs alone, so that the second condition says nothing; a crash shows when an engine ended, not why.

Change: no number of crashes takes a sample out. After each crash a suspect pauses for 2 s, which bounds what a sample that does crash engines can cost, and it waits for an empty engine for 2 s at most: several suspects, or one behind a long sample, waited for their turn until the step was over. sample_started tells the crashes.

--- a/src/limpethatch/version/sample_scheduler.cc
+++ b/src/limpethatch/version/sample_scheduler.cc
@@ -15,9 +15,6 @@
 // Broken runs without an event from which on a sample is suspected to crash
 // engines.
 constexpr uint32_t kSuspectBreaks = 2;
-// Crashes after which a sample is not run any more, if one of them happened
-// while nothing else was running there.
-constexpr size_t kMaxSampleCrashes = CrashLedger::kMaxCrashes + 2;
 
 bool NeedsText(const JobSampleRecord& record) {
   return record.state == wire::SAMPLE_OPEN && !record.output.whole;
@@ -50,10 +47,12 @@
     const Job* job = jobs.Find(key.job);
     return !job || job->ended || !NeedsText(job->samples[key.index]);
   });
-  std::erase_if(resume_waits_, [&](const auto& entry) {
+  const auto is_of_ended_job = [&](const auto& entry) {
     const Job* job = jobs.Find(entry.first.job);
     return !job || job->ended;
-  });
+  };
+  std::erase_if(resume_waits_, is_of_ended_job);
+  std::erase_if(isolation_waits_, is_of_ended_job);
   PlanStops(jobs, now, &plan);
   const std::vector<Candidate> waiting = Waiting(jobs, now, crashes);
   PlanQuarantines(waiting, now);
@@ -213,13 +212,11 @@
         retry != retry_states_.end() && now < retry->second.retry_at;
     const std::string name =
         crashes.empty() ? "" : CrashLedger::NameOfSample(sample.id());
-    const size_t crash_count = crashes.CrashCount(name);
-    const bool crashes_engines =
-        crash_count >= kMaxSampleCrashes && crashes.CrashedAlone(name);
-    if (run == runs_.end() && !paused && !crashes_engines &&
-        !done_unlisted_.contains(key)) {
-      group.waiting.push_back(
-          {key, &job, remaining, crash_count >= CrashLedger::kSuspectCrashes});
+    if (run == runs_.end() && !paused && !done_unlisted_.contains(key)) {
+      Candidate candidate{key, &job, remaining, crashes.CrashCount(name),
+                          crashes.CrashedAlone(name)};
+      candidate.isolated = candidate.suspect() && !IsIsolationOverdue(key, now);
+      group.waiting.push_back(std::move(candidate));
     }
   }
   uint32_t groups_needed = job.submit.group_count() != 0
@@ -250,6 +247,13 @@
                    });
 }
 
+bool SampleScheduler::IsIsolationOverdue(const SampleKey& key,
+                                         TimePoint now) const {
+  const auto wait = isolation_waits_.find(key);
+  return wait != isolation_waits_.end() &&
+         now - wait->second >= options_.max_isolation_wait;
+}
+
 void SampleScheduler::PlanQuarantines(const std::vector<Candidate>& waiting,
                                       TimePoint now) {
   Quarantines next;
@@ -261,7 +265,7 @@
   }
   for (const Candidate& candidate : waiting) {
     const std::string& service = candidate.job->submit.service();
-    if (!candidate.suspect || next.contains(service)) {
+    if (!candidate.isolated || next.contains(service)) {
       continue;
     }
     if (const auto present = quarantines_.find(service);
@@ -288,7 +292,8 @@
 
 EngineState* SampleScheduler::ChooseEngine(const Candidate& candidate,
                                            TimePoint now) {
-  if (candidate.suspect) {
+  if (candidate.isolated) {
+    isolation_waits_.try_emplace(candidate.key, now);
     const auto quarantine = quarantines_.find(candidate.job->submit.service());
     EngineState* engine = quarantine == quarantines_.end()
                               ? nullptr
@@ -455,7 +460,8 @@
   const SampleText& output = candidate.job->samples[candidate.key.index].output;
   run.events = CanResume(candidate, engine) ? output.events : 0;
   run.expected_events = ExpectedEvents(submit, sample);
-  run.quarantined = candidate.suspect;
+  run.suspect = candidate.suspect();
+  run.quarantined = candidate.isolated;
   run.single_version = submit.single_version();
   run.last_progress = now;
   rate_limits_.Acquire(engine.id, {}, now);
@@ -464,9 +470,11 @@
   ++engine.running_by_model[run.model];
   ++engine.groups[run.group];
   resume_waits_.erase(candidate.key);
+  isolation_waits_.erase(candidate.key);
   plan->starts.push_back({candidate.key, engine.id,
                           engine.ServableVersion(submit.model(), now),
-                          engine.software_version});
+                          engine.software_version, candidate.crash_count,
+                          candidate.crashed_alone});
 }
 
 void SampleScheduler::RecordEvents(const SampleKey& key,
@@ -523,9 +531,10 @@
     }
   }
   // A sample that the engine did not get can't have crashed it.
-  if (outcome == RunOutcome::kBroken && !run.has_event) {
+  if (outcome == RunOutcome::kBroken && (run.suspect || !run.has_event)) {
     RetryState& retry = retry_states_[key];
-    if (++retry.breaks_without_event >= kSuspectBreaks) {
+    retry.breaks_without_event += run.has_event ? 0 : 1;
+    if (run.suspect || retry.breaks_without_event >= kSuspectBreaks) {
       retry.retry_at = now + options_.suspect_retry_delay;
     }
   }
@@ -543,6 +552,7 @@
   retry_states_.clear();
   done_unlisted_.clear();
   resume_waits_.clear();
+  isolation_waits_.clear();
   quarantines_.clear();
 }
 
--- a/src/limpethatch/version/sample_scheduler.h
+++ b/src/limpethatch/version/sample_scheduler.h
@@ -9,7 +9,9 @@
 //
 // A sample that was running when engines crashed may be the cause or merely
 // have been there. It runs again on an engine that runs nothing else, so that
-// another crash is evidence against this sample alone.
+// another crash harms no other sample, and pauses after each crash. Crashes
+// never prove that a sample is the cause, so it stays owed: neither the pause
+// nor the wait for an empty engine lasts long.
 #ifndef LIMPETHATCH_VERSION_SAMPLE_SCHEDULER_H_
 #define LIMPETHATCH_VERSION_SAMPLE_SCHEDULER_H_
 
@@ -32,6 +34,8 @@
   std::string engine;
   uint64_t version = 0;          // Weights that the engine is expected to have.
   std::string software_version;  // Of the engine.
+  size_t crash_count = 0;        // Of engines that were running the sample.
+  bool crashed_alone = false;    // One of them was running nothing else.
 };
 
 enum class StopReason {
@@ -80,8 +84,11 @@
   // it, before it begins anew on another one.
   Duration max_resume_wait = std::chrono::seconds(1);
   // Delay before another try of a sample whose runs broke twice without an
-  // event.
+  // event, or that broke after engines had crashed while running it.
   Duration suspect_retry_delay = std::chrono::seconds(2);
+  // Time that a sample waits for an engine that runs nothing else, before it
+  // starts like any other.
+  Duration max_isolation_wait = std::chrono::seconds(2);
 };
 
 class SampleScheduler {
@@ -124,6 +131,7 @@
     uint32_t expected_events = 0;
     bool has_event = false;  // At least one event arrived.
     bool stopping = false;
+    bool suspect = false;      // Engines crashed while running the sample.
     bool quarantined = false;  // Nothing else may start on its engine.
     // All events have to be of the same weights.
     bool single_version = false;
@@ -141,7 +149,11 @@
     SampleKey key;
     const Job* job = nullptr;
     uint32_t remaining = 0;  // Events.
-    bool suspect = false;    // Engines crashed while running it.
+    size_t crash_count = 0;
+    bool crashed_alone = false;
+    bool isolated = false;  // Starts only where nothing else runs.
+
+    bool suspect() const { return crash_count >= CrashLedger::kSuspectCrashes; }
   };
   // Engines by service.
   using Quarantines = std::map<std::string, std::string, std::less<>>;
@@ -157,7 +169,10 @@
                   const CrashLedger& crashes,
                   std::vector<Candidate>* needed,
                   std::vector<Candidate>* spare) const;
-  // Keeps one engine of each service with suspects free of other samples.
+  // Whether a suspect has waited long enough for an engine without other
+  // samples.
+  bool IsIsolationOverdue(const SampleKey& key, TimePoint now) const;
+  // Keeps one engine of each service with isolated samples free of others.
   void PlanQuarantines(const std::vector<Candidate>& waiting, TimePoint now);
   EngineState* ChooseEngine(const Candidate& candidate, TimePoint now);
   // EngineTable::MedianEventGap, computed once for each plan.
@@ -205,7 +220,9 @@
   std::set<SampleKey> done_unlisted_;
   // Samples that wait for an engine that can resume them, since when.
   std::map<SampleKey, TimePoint> resume_waits_;
-  // Where suspects run, or will once the other samples there have ended.
+  // Suspects that wait for an engine without other samples, since when.
+  std::map<SampleKey, TimePoint> isolation_waits_;
+  // Where isolated samples run, or will once the others there have ended.
   Quarantines quarantines_;
   // By service; valid while a plan is made.
   std::map<std::string, std::vector<EngineState*>, std::less<>> open_engines_;
--- a/src/programs/control/sample_runner.cc
+++ b/src/programs/control/sample_runner.cc
@@ -149,7 +149,9 @@
        {"software_version", start.software_version},
        {"weights", start.version},
        {"after_event", progress.total()},
-       {"running_there", engine->running}});
+       {"running_there", engine->running},
+       {"crashes", start.crash_count},
+       {"crashed_alone", start.crashed_alone}});
   Spawn(io_, [this, run, generation = generation_](Yield yield) {
     if (generation == generation_) {
       RunSample(yield, run);
