Store texts that begin with a marker byte compressed

Cause: what is compressed is told by a first byte of 0 or 1, which no command begins with, but the text of an engine may. A short text is stored as it is, so that decompression of the page failed.

Change: a text that begins with such a byte is compressed whatever its length, so that the first byte tells the form again.

Evidence: before, compression_test a_text_that_begins_with_a_marker_byte_round_ trips failed at "first byte 0, then 0" and job_ledger_test a_text_that_begins_with_ any_byte_is_read_back at "first byte 0"; both pass now, as does a_marked_text_in_ the_snapshot_of_an_earlier_release_is_read.

--- a/src/limpethatch/process/compression.cc
+++ b/src/limpethatch/process/compression.cc
@@ -3,12 +3,14 @@
 #include <zlib.h>
 #include <zstd.h>
 
+#include <algorithm>
 #include <boost/endian/conversion.hpp>
 
 namespace limpethatch {
 namespace {
 
 // No protobuf message starts with these bytes: field number 0 is not valid.
+// Other texts may, and are then always compressed.
 constexpr char kZlibMarker = 0;  // Written by earlier releases; only read.
 constexpr char kZstdMarker = 1;
 // The marker, then the uncompressed length (4 bytes, big endian).
@@ -41,7 +43,8 @@
 }  // namespace
 
 std::string CompressCommand(std::string command) {
-  if (command.size() < kCompressionThresholdBytes) {
+  const bool looks_compressed = IsMarked(command);
+  if (command.size() < kCompressionThresholdBytes && !looks_compressed) {
     return command;
   }
   std::string stored(kHeaderBytes + ZSTD_compressBound(command.size()),
@@ -52,7 +55,8 @@
   const size_t length =
       ZSTD_compress(stored.data() + kHeaderBytes, stored.size() - kHeaderBytes,
                     command.data(), command.size(), kZstdLevel);
-  if (ZSTD_isError(length) || kHeaderBytes + length >= command.size()) {
+  if (ZSTD_isError(length) ||
+      (kHeaderBytes + length >= command.size() && !looks_compressed)) {
     return command;
   }
   stored.resize(kHeaderBytes + length);
@@ -72,6 +76,20 @@
   return length <= kMaxCommandBytes ? std::optional(length) : std::nullopt;
 }
 
+bool IsStoredForm(std::string_view stored) {
+  if (!IsMarked(stored)) {
+    return true;
+  }
+  if (stored.front() == kZlibMarker) {
+    return DecompressCommand(stored).has_value();
+  }
+  const std::string_view frame =
+      stored.substr(std::min(kHeaderBytes, stored.size()));
+  const std::optional<size_t> length = DecompressedSize(stored);
+  return length &&
+         ZSTD_getFrameContentSize(frame.data(), frame.size()) == *length;
+}
+
 std::optional<std::string> DecompressCommand(std::string_view stored) {
   if (!IsMarked(stored)) {
     return std::string(stored);
--- a/src/limpethatch/version/job_ledger.cc
+++ b/src/limpethatch/version/job_ledger.cc
@@ -85,11 +85,15 @@
     record.score = sample.score();
     record.scored_call = sample.scored_call();
     record.score_failures = sample.score_failures();
-    record.output = {sample.text(),
-                     sample.events(),
-                     {sample.versions().begin(), sample.versions().end()},
-                     sample.whole(),
-                     sample.software_version()};
+    // A whole text that an earlier release stored as it was is compressed now.
+    const bool stored_as_it_was =
+        sample.whole() && !IsStoredForm(sample.text());
+    record.output = {
+        stored_as_it_was ? CompressCommand(sample.text()) : sample.text(),
+        sample.events(),
+        {sample.versions().begin(), sample.versions().end()},
+        sample.whole(),
+        sample.software_version()};
   }
   return job;
 }
--- a/tests/process/compression_test.cc
+++ b/tests/process/compression_test.cc
@@ -32,6 +32,25 @@
   }));
 }
 
+// Guards against texts of engines that begin with a marker byte: they were
+// taken for compressed ones and could not be read.
+Test(compression, a_text_that_begins_with_a_marker_byte_round_trips) {
+  for (const char first : {'\0', '\1', '\2'}) {
+    for (const size_t length : {0, 1, 4, 100, 600, 5000}) {
+      const std::string text = first + std::string(length, 'x');
+      cr_assert(DecompressCommand(CompressCommand(text)) == text,
+                "first byte %d, then %zu", first, length);
+      cr_assert(DecompressedSize(CompressCommand(text)) == text.size());
+    }
+  }
+  cr_assert(rc::check("any text round-trips", [] {
+    const char first = *rc::gen::inRange<char>(0, 3);
+    const std::string text =
+        first + *rc::gen::scale(50, rc::gen::arbitrary<std::string>());
+    RC_ASSERT(DecompressCommand(CompressCommand(text)) == text);
+  }));
+}
+
 Test(compression, damage_is_detected) {
   const std::string stored = CompressCommand(std::string(5000, 'x'));
   for (size_t length = 1; length < stored.size(); ++length) {
--- a/tests/version/job_ledger_test.cc
+++ b/tests/version/job_ledger_test.cc
@@ -93,6 +93,59 @@
             ledger.Page("job", 0).results_size());
 }
 
+// Guards against an engine's text that is taken for a compressed one: the page
+// with it, and so all of the job's results after it, could not be read.
+Test(job_ledger, a_text_that_begins_with_any_byte_is_read_back) {
+  for (const char first : {'\0', '\1', '\2'}) {
+    const std::string text = first + std::string("wrong");
+    JobLedger ledger;
+    ledger.Apply(SubmitOf("job", 2));
+    ledger.Apply(AdvanceOf("job", 0, 0, {text}, {2}, wire::SAMPLE_COMPLETED));
+    ledger.Apply(AdvanceOf("job", 1, 0, {"a"}, {2}, wire::SAMPLE_COMPLETED));
+    wire::FleetSnapshot snapshot;
+    ledger.Save(&snapshot);
+    JobLedger restored;
+    restored.Load(snapshot);
+    for (const JobLedger* each : {&ledger, &restored}) {
+      for (const bool packed : {true, false}) {
+        wire::JobPage page = each->Page("job", 0, packed);
+        cr_assert(UnpackTexts(&page), "first byte %d", first);
+        cr_assert_eq(page.results_size(), 2);
+        cr_assert(page.results(0).text() == text, "first byte %d", first);
+        cr_assert(page.results(1).text() == "a");
+      }
+    }
+  }
+}
+
+// Earlier releases stored such texts as they were.
+Test(job_ledger, a_marked_text_in_the_snapshot_of_an_earlier_release_is_read) {
+  const std::string compressible(5000, 'x');
+  JobLedger ledger;
+  ledger.Apply(SubmitOf("job", 3));
+  ledger.Apply(AdvanceOf("job", 0, 0, {"a"}, {2}, wire::SAMPLE_COMPLETED));
+  ledger.Apply(AdvanceOf("job", 1, 0, {"b"}, {2}, wire::SAMPLE_COMPLETED));
+  ledger.Apply(
+      AdvanceOf("job", 2, 0, {compressible}, {2}, wire::SAMPLE_COMPLETED));
+  for (const bool ended : {false, true}) {
+    wire::FleetSnapshot snapshot;
+    ledger.Save(&snapshot);
+    const std::vector<std::string> texts = {std::string(1, '\0'),
+                                            "\1 wrong from the start"};
+    for (int i = 0; i < 2; ++i) {
+      snapshot.mutable_jobs(0)->mutable_samples(i)->set_text(texts[i]);
+    }
+    snapshot.mutable_jobs(0)->set_ended(ended);
+    JobLedger restored;
+    restored.Load(snapshot);
+    wire::JobPage page = restored.Page("job", 0, true);
+    cr_assert(UnpackTexts(&page));
+    cr_assert(page.results(0).text() == texts[0]);
+    cr_assert(page.results(1).text() == texts[1]);
+    cr_assert(page.results(2).text() == compressible);
+  }
+}
+
 Test(job_ledger, a_corrupt_packed_text_is_reported) {
   JobLedger ledger;
   ledger.Apply(SubmitOf("job", 1));
