Believe weight versions of answers only if they can be true

Cause: the engine table kept the highest version that anybody had stated for an engine. Neither its later announcements nor its refusals took that back, and the weight rollout counted it as a holder of the newest version.

Change: an answer can state a version only if it was put into force or the engine has announced it; any other answer is invalid and nothing of it is recorded. A 421 to the believed version leaves the engine's announcement. An answer with older weights than expected, or than before, is invalid as well: its text was listed under a wrong version.

Evidence: before, sample_runner_test an_answer_that_states_unknown_weights_is_not_ believed failed (version 9 believed) and an_answer_that_states_older_weights_is_ not_recorded (text recorded); both pass now, as do engine_table_test and an_engine_ that_refuses_a_version_does_not_have_it, which need the new interface.

--- a/src/limpethatch/version/engine_table.cc
+++ b/src/limpethatch/version/engine_table.cc
@@ -75,6 +75,7 @@
   }
   for (const wire::ModelWeights& weights : record.weights()) {
     EngineModel& model = engine.models[weights.model()];
+    model.announced_version = weights.version();
     model.version = std::max(model.version, weights.version());
     if (model.loading_version != 0 && model.version >= model.loading_version) {
       model.loading_version = 0;
@@ -103,20 +104,48 @@
   return found == engines_.end() ? nullptr : &found->second;
 }
 
-void EngineTable::ConfirmVersion(std::string_view id,
+void EngineTable::SetNewestVersions(
+    const std::map<std::string, uint64_t>& versions) {
+  newest_versions_ = versions;
+}
+
+bool EngineTable::ConfirmVersion(std::string_view id,
                                  std::string_view model,
                                  uint64_t version) {
   EngineState* engine = Find(id);
   if (!engine) {
-    return;
+    return true;
   }
   const auto found = engine->models.find(model);
-  if (found == engine->models.end() || version < found->second.version) {
+  if (found == engine->models.end()) {
+    return true;
+  }
+  EngineModel& held = found->second;
+  const auto newest = newest_versions_.find(found->first);
+  if (version > held.announced_version &&
+      (newest == newest_versions_.end() || version > newest->second)) {
+    return false;
+  }
+  if (version < held.version) {
+    return true;
+  }
+  held.version = version;
+  if (version >= held.loading_version) {
+    held.loading_version = 0;
+  }
+  return true;
+}
+
+void EngineTable::RefuteVersion(std::string_view id,
+                                std::string_view model,
+                                uint64_t version) {
+  EngineState* engine = Find(id);
+  if (!engine) {
     return;
   }
-  found->second.version = version;
-  if (version >= found->second.loading_version) {
-    found->second.loading_version = 0;
+  if (const auto found = engine->models.find(model);
+      found != engine->models.end() && found->second.version == version) {
+    found->second.version = found->second.announced_version;
   }
 }
 
--- a/src/limpethatch/version/sample_stream_validator.cc
+++ b/src/limpethatch/version/sample_stream_validator.cc
@@ -15,12 +15,20 @@
   if (version != 0 && version < sample_.min_version) {
     return Refuse(Verdict::kNotRun, "weights_too_old");
   }
+  // An engine refuses a request that expects other weights than it has, and its
+  // weights only become newer.
+  if (version != 0 && version < sample_.expected_version) {
+    return Refuse(Verdict::kBroken, "weights_older_than_expected");
+  }
   return Verdict::kContinue;
 }
 
 Verdict SampleStreamValidator::OnEvent(uint64_t id,
                                        uint64_t version,
                                        size_t bytes) {
+  if (version != 0 && version < version_) {
+    return Refuse(Verdict::kBroken, "weights_older_than_before");
+  }
   if (version != 0) {
     version_ = version;
   }
--- a/src/limpethatch/version/sample_stream_validator.h
+++ b/src/limpethatch/version/sample_stream_validator.h
@@ -23,6 +23,7 @@
 
   struct Sample {
     uint64_t min_version = 0;       // The oldest weights allowed.
+    uint64_t expected_version = 0;  // That the engine was asked for; 0: any.
     bool single_version = false;    // All events must be of the same version.
     uint32_t events = 0;            // Received so far.
     std::set<uint64_t> versions{};  // Versions that generated them.
--- a/src/programs/control/fleet_leader.cc
+++ b/src/programs/control/fleet_leader.cc
@@ -100,6 +100,7 @@
   if (!IsActiveLeader(now)) {
     return;
   }
+  scheduler_.engine_table().SetNewestVersions(ledger().weights());
   if (!engine_table_initialised_) {
     InitialiseEngineTable();
   }
--- a/src/programs/control/sample_runner.cc
+++ b/src/programs/control/sample_runner.cc
@@ -244,6 +244,10 @@
     case platform::SampleAnswer::kNotRun: {
       run->reason = head.misdirected ? "misdirected" : "engine_full";
       engine_table.ConfirmVersion(run->start.engine, run->model, head.version);
+      if (head.misdirected) {
+        engine_table.RefuteVersion(run->start.engine, run->model,
+                                   run->start.version);
+      }
       if (EngineState* engine = engine_table.Find(run->start.engine)) {
         EngineModel& model = engine->models[run->model];
         model.paused_until =
@@ -282,9 +286,10 @@
                                     uint64_t version) {
   const uint64_t generation = generation_;
   const Progress& output = progress_[run->start.key];
-  SampleStreamValidator validator(
-      {run->min_version, run->single_version, output.total(), output.versions,
-       output.text_bytes, OutputLimitOf(run->sample)});
+  SampleStreamValidator validator({run->min_version, run->start.version,
+                                   run->single_version, output.total(),
+                                   output.versions, output.text_bytes,
+                                   OutputLimitOf(run->sample)});
   const auto end_with = [&](SampleStreamValidator::Verdict verdict) {
     run->reason = validator.reason();
     if (validator.limit_exceeded()) {
@@ -297,8 +302,9 @@
                ? RunOutcome::kNotRun
                : RunOutcome::kBroken;
   };
-  scheduler_.engine_table().ConfirmVersion(run->start.engine, run->model,
-                                           version);
+  if (!ConfirmVersion(run, version)) {
+    return RunOutcome::kBroken;
+  }
   if (const auto verdict = validator.OnHeader(version);
       verdict != SampleStreamValidator::Verdict::kContinue) {
     return end_with(verdict);
@@ -320,6 +326,9 @@
     parser.Feed(chunk.value());
     bool received_event = false;
     while (const auto event = parser.Next()) {
+      if (event->version != 0 && !ConfirmVersion(run, event->version)) {
+        return RunOutcome::kBroken;
+      }
       if (const auto verdict =
               validator.OnEvent(event->id, event->version, event->data.size());
           verdict != SampleStreamValidator::Verdict::kContinue) {
@@ -362,13 +371,24 @@
   return RunOutcome::kDone;
 }
 
+bool SampleRunner::ConfirmVersion(const RunPtr& run, uint64_t version) {
+  if (scheduler_.engine_table().ConfirmVersion(run->start.engine, run->model,
+                                               version)) {
+    return true;
+  }
+  run->reason = "weights_unknown";
+  Log(LogLevel::kWarning, "unknown_weights_stated",
+      {{"target", run->start.engine},
+       {"sample", run->sample.id()},
+       {"model", run->model},
+       {"weights", version},
+       {"expected", run->start.version}});
+  return false;
+}
+
 void SampleRunner::AppendEvent(const RunPtr& run,
                                const platform::StreamEvent& event,
                                uint64_t version) {
-  if (event.version != 0) {
-    scheduler_.engine_table().ConfirmVersion(run->start.engine, run->model,
-                                             version);
-  }
   Progress& progress = progress_[run->start.key];
   progress.versions.insert(version);
   progress.new_versions.insert(version);
--- a/src/programs/control/sample_runner.h
+++ b/src/programs/control/sample_runner.h
@@ -111,6 +111,8 @@
                         const RunPtr& run,
                         HttpStream& stream,
                         uint64_t version);
+  // Records that an answer states `version`. Returns false if that is wrong.
+  bool ConfirmVersion(const RunPtr& run, uint64_t version);
   // Appends an event that `version` of the weights generated.
   void AppendEvent(const RunPtr& run,
                    const platform::StreamEvent& event,
--- a/tests/control/sample_runner_test.cc
+++ b/tests/control/sample_runner_test.cc
@@ -25,10 +25,14 @@
  public:
   explicit BreakingEngine(
       std::string header = "",
-      std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda")
+      std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda",
+      std::string status = "200 OK",
+      std::string weights = "5")
       : endpoint_(FreeEndpoint()),
         header_(std::move(header)),
-        events_(std::move(events)) {
+        events_(std::move(events)),
+        status_(std::move(status)),
+        weights_(std::move(weights)) {
     acceptor_.open(tcp::v4());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(
@@ -50,16 +54,20 @@
     boost::asio::read_until(socket, boost::asio::dynamic_buffer(request_head_),
                             "\r\n\r\n", ignored);
     const std::string answer =
-        "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: sample\r\n"
-        "Server-Stamp: stamp\r\nWeight-Versions: 5\r\n" +
-        header_ + "Content-Length: " + std::to_string(events_.size()) +
-        "\r\n\r\n" + events_;
+        "HTTP/1.1 " + status_ +
+        "\r\nRequest-Attempt-Id: sample\r\n"
+        "Server-Stamp: stamp\r\nWeight-Versions: " +
+        weights_ + "\r\n" + header_ +
+        "Content-Length: " + std::to_string(events_.size()) + "\r\n\r\n" +
+        events_;
     boost::asio::write(socket, boost::asio::buffer(answer), ignored);
   }
 
   const Endpoint endpoint_;
   const std::string header_;
   const std::string events_;
+  const std::string status_;
+  const std::string weights_;
   boost::asio::io_context io_;
   tcp::acceptor acceptor_{io_};
   std::string request_head_;
@@ -91,29 +99,48 @@
     jobs.Apply(submit);
   }
 
-  // Runs the sample on `engine` until the run has ended.
-  void Run(const BreakingEngine& engine,
-           const std::string& id,
-           const std::string& software_version) {
+  // The engine announces version 5 of the model's weights.
+  void Announce(const Endpoint& address,
+                const std::string& id,
+                const std::string& software_version) {
     wire::TargetRecord record;
     record.set_id(id);
     record.set_service("coach");
-    record.set_address(engine.endpoint().ToString());
+    record.set_address(address.ToString());
     record.set_born_ms(1);
     record.set_software_version(software_version);
     wire::ModelWeights& weights = *record.add_weights();
     weights.set_model("model");
     weights.set_version(5);
     scheduler.engine_table().Announce(record);
+  }
+
+  // Runs the sample on `engine` until the run has ended. The engine is asked
+  // for `version` of the weights.
+  void Run(const BreakingEngine& engine,
+           const std::string& id,
+           const std::string& software_version,
+           uint64_t version = 5) {
+    Announce(engine.endpoint(), id, software_version);
+    if (version > 5) {
+      // An answer has stated a version that was put into force.
+      scheduler.engine_table().SetNewestVersions({{"model", version}});
+      scheduler.engine_table().ConfirmVersion(id, "model", version);
+    }
     const uint64_t broken_before = runner.counters().broken;
-    runner.Start({{"job", 0}, id, 5, software_version}, *jobs.Find("job"),
+    runner.Start({{"job", 0}, id, version, software_version}, *jobs.Find("job"),
                  keys_required);
     while (runner.counters().broken == broken_before &&
-           runner.counters().finished == 0) {
+           runner.counters().finished == 0 && runner.counters().not_run == 0) {
       io.run_one();
     }
   }
 
+  // The version of the weights that the engine is believed to have.
+  uint64_t BelievedVersion(const std::string& id) {
+    return scheduler.engine_table().Find(id)->models.at("model").version;
+  }
+
   bool keys_required = false;  // Whether organisations are configured.
   int leaving = 0;             // Engines that said that they are leaving.
   JobLedger jobs;
@@ -180,6 +207,41 @@
   cr_assert(read.advances(0).events(0) == "a");
 }
 
+// Guards against one wrong answer that is believed for good: the engine was
+// asked for weights that nobody had named, and no other engine loaded those
+// that were.
+Test(sample_runner, an_answer_that_states_unknown_weights_is_not_believed) {
+  BreakingEngine by_header("", "id: 1\ndata: a\n\n", "200 OK", "9");
+  BreakingEngine by_event("", "id: 1\nweight-versions: 9\ndata: a\n\n");
+  RunnerFixture fixture;
+  fixture.Run(by_header, "i-1", "v1");
+  fixture.Run(by_event, "i-2", "v1");
+  fixture.runner.Flush();
+  cr_assert_eq(fixture.BelievedVersion("i-1"), 5);
+  cr_assert_eq(fixture.BelievedVersion("i-2"), 5);
+  cr_assert(fixture.recorded.empty());
+}
+
+// Guards against a label of weights that did not generate the text.
+Test(sample_runner, an_answer_that_states_older_weights_is_not_recorded) {
+  BreakingEngine by_header("", "id: 1\ndata: a\n\n", "200 OK", "4");
+  BreakingEngine by_event("", "id: 1\nweight-versions: 4\ndata: a\n\n");
+  RunnerFixture fixture;
+  fixture.Run(by_header, "i-1", "v1");
+  fixture.Run(by_event, "i-2", "v1");
+  fixture.runner.Flush();
+  cr_assert(fixture.recorded.empty());
+}
+
+// Guards against a wrong belief that nothing corrects: the engine refused the
+// version again and again, and counted as one that has it.
+Test(sample_runner, an_engine_that_refuses_a_version_does_not_have_it) {
+  BreakingEngine engine("Not-Run: 1\r\n", "", "421 Misdirected", "0");
+  RunnerFixture fixture;
+  fixture.Run(engine, "i-1", "v1", 7);
+  cr_assert_eq(fixture.BelievedVersion("i-1"), 5);
+}
+
 // Events without an end, each of them valid, filled the memory of the leader,
 // and a text of 16 MB was listed as completed.
 Test(sample_runner, more_output_than_a_sample_allows_ends_the_run) {
--- a/tests/version/sample_stream_validator_test.cc
+++ b/tests/version/sample_stream_validator_test.cc
@@ -29,6 +29,17 @@
   cr_assert_str_eq(validator.reason(), "weights_too_old");
 }
 
+// Guards against a label of weights that the engine no longer had.
+Test(sample_stream_validator, weights_older_than_expected_are_refused) {
+  SampleStreamValidator validator({.min_version = 1, .expected_version = 3});
+  cr_assert(validator.OnHeader(2) == Verdict::kBroken);
+  cr_assert_str_eq(validator.reason(), "weights_older_than_expected");
+  cr_assert(validator.OnHeader(4) == Verdict::kContinue);
+  cr_assert(validator.OnEvent(1, 3) == Verdict::kBroken);
+  cr_assert_str_eq(validator.reason(), "weights_older_than_before");
+  cr_assert(validator.OnEvent(1, 5) == Verdict::kContinue);
+}
+
 Test(sample_stream_validator, an_event_without_a_weight_version_is_refused) {
   SampleStreamValidator validator({.min_version = 0});
   cr_assert(validator.OnHeader(0) == Verdict::kContinue);
