Refuse announcements with missing members

Cause: `version`, `stage` and `models` counted as optional and `cold_remaining_ms` was not read, so that these entries were taken for targets that had started later at the same addresses. The registry then marks the earlier ones as gone, for good.

Evidence: before, announcement_test an_entry_with_a_missing_member_takes_no_address failed at "cold_remaining_ms" (answered 200) and codec_test at "version"; both pass now. The valid announcements of codec_test and tests/hostile have the member cold_remaining_ms now, which they lacked.

--- a/src/limpethatch/connection/fleet_interface.h
+++ b/src/limpethatch/connection/fleet_interface.h
@@ -52,6 +52,8 @@
   // Returns true if the configuration declares the service, or if no
   // configuration is known yet.
   virtual bool KnowsService(std::string_view service) const = 0;
+  // Returns true if the configuration declares models for the service.
+  virtual bool HasModels(std::string_view service) const = 0;
   // Records what a target announced. Returns false if this control instance is
   // partitioned from the others, which then may not receive the announcement.
   virtual bool Announce(const wire::TargetRecord& target) = 0;
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -81,6 +81,7 @@
   Endpoint CallAddress() const override { return settings_.api; }
   std::optional<Endpoint> BetterInstance() const override;
   bool KnowsService(std::string_view service) const override;
+  bool HasModels(std::string_view service) const override;
   bool Announce(const wire::TargetRecord& target) override;
   void OnAnnouncementRefused(std::string_view id,
                              std::string_view problem) override;
--- a/src/programs/control/fleet_targets.cc
+++ b/src/programs/control/fleet_targets.cc
@@ -148,6 +148,15 @@
              [&](const auto& declared) { return declared.name() == service; });
 }
 
+bool FleetService::HasModels(std::string_view service) const {
+  const wire::FleetConfiguration& configuration = ledger().configuration();
+  return std::any_of(configuration.services().begin(),
+                     configuration.services().end(), [&](const auto& declared) {
+                       return declared.name() == service &&
+                              !declared.models().empty();
+                     });
+}
+
 bool FleetService::Announce(const wire::TargetRecord& target) {
   const TimePoint now = Clock::now();
   if (MergeTarget(target, now)) {
--- a/tests/hostile/common.py
+++ b/tests/hostile/common.py
@@ -214,7 +214,8 @@
             sequence += 1
             self.put("/v1/instances/desk-1", {
                 "service": "desk", "address": self.target_address, "zone": "zone-a", "slots": 64,
-                "sequence": sequence, "version": "1", "born": born, "state": "ready"})
+                "sequence": sequence, "version": "1", "cold_remaining_ms": 0, "born": born,
+                "state": "ready"})
 
     def ordinary_request(self):
         return exchange(self.gateway_ip, CALLERS, head("GET", "/live/a", "Connection: close"), 2)
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -80,8 +80,9 @@
 Test(target_codec, an_announcement_requires_each_member_with_its_type) {
   const std::string valid =
       R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",
-          "slots":12,"state":"ready","born":1770000000000,
-          "models":[{"name":"m","version":3}],"sequence":4})";
+          "slots":12,"state":"ready","cold_remaining_ms":0,"stage":"both",
+          "born":1770000000000,"models":[{"name":"m","version":3}],
+          "sequence":4})";
   wire::TargetRecord target;
   std::string problem;
   cr_assert(DecodeAnnouncement("i-1", valid, &target, &problem), "%s",
@@ -100,6 +101,11 @@
   cr_assert(refused("1770000000000", "1.5"));
   cr_assert(refused("10.0.0.9:80", "nowhere"));
   cr_assert(refused("\"sequence\":4", "\"other\":4"));
+  for (const char* name : {"service", "address", "zone", "version", "slots",
+                           "state", "cold_remaining_ms", "born", "sequence"}) {
+    cr_assert(refused("\"" + std::string(name) + "\":", "\"other\":"), "%s",
+              name);
+  }
   cr_assert(refused("{\"service\"", "\xff{\"service\""));
 }
 
@@ -108,8 +114,9 @@
 Test(target_codec, odd_announcements_are_refused_with_a_reason) {
   const std::string valid =
       R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",
-          "slots":12,"state":"ready","born":1770000000000,
-          "models":[{"name":"m","version":3}],"sequence":4})";
+          "slots":12,"state":"ready","cold_remaining_ms":0,"stage":"both",
+          "born":1770000000000,"models":[{"name":"m","version":3}],
+          "sequence":4})";
   const auto refused = [&](std::string_view id, std::string_view from,
                            const std::string& to) {
     std::string text = valid;
