Let batch jobs follow the weights of a split

Cause: a submission took the first part of the split, and the leader compared with the first part when it checked whether a job's route is still in force. Live requests choose by weight.

A job's route is in force if its service has a weight above 0.

Routes in job_route_test, job_organisation_test and gateway_api_test had no weight, which no valid configuration has; they have 1.

--- a/src/limpethatch/version/job_route.cc
+++ b/src/limpethatch/version/job_route.cc
@@ -1,6 +1,7 @@
 #include "limpethatch/version/job_route.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace limpethatch {
 namespace {
@@ -19,6 +20,14 @@
                      });
 }
 
+// Whether requests of the route may go to the service.
+bool MayServe(const wire::Route& route, std::string_view service) {
+  return std::any_of(route.services().begin(), route.services().end(),
+                     [&](const wire::WeightedService& part) {
+                       return part.service() == service && part.weight() > 0;
+                     });
+}
+
 }  // namespace
 
 bool IsJobRouteInForce(const wire::FleetConfiguration& configuration,
@@ -34,8 +43,7 @@
                        return route.kind() == wire::ROUTE_JOBS &&
                               route.host() == submit.host() &&
                               route.path_prefix() == submit.path_prefix() &&
-                              route.services_size() > 0 &&
-                              route.services(0).service() == submit.service() &&
+                              MayServe(route, submit.service()) &&
                               route.single_version() == submit.single_version();
                      });
 }
--- a/src/limpethatch/version/job_route.h
+++ b/src/limpethatch/version/job_route.h
@@ -7,9 +7,9 @@
 namespace limpethatch {
 
 // Whether the configuration still has the route by which the job was submitted,
-// with the same service and rule for versions, and its organisation. True if
-// the job was submitted under this configuration or a newer one, or does not
-// tell which.
+// to the same service with a weight above 0, with the same rule for versions,
+// and its organisation. True if the job was submitted under this configuration
+// or a newer one, or does not tell which.
 bool IsJobRouteInForce(const wire::FleetConfiguration& configuration,
                        const wire::JobSubmit& submit);
 
--- a/tests/platform/gateway_api_test.cc
+++ b/tests/platform/gateway_api_test.cc
@@ -1,6 +1,7 @@
 #include "platform/gateway_api.h"
 
 #include <boost/asio/io_context.hpp>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -14,10 +15,12 @@
 namespace limpethatch {
 namespace {
 
-// Has one route, for batch jobs.
+// Has one route, for batch jobs, to the services with these weights.
 class FakeGateway : public GatewayInterface {
  public:
-  FakeGateway() {
+  explicit FakeGateway(
+      const std::vector<std::pair<std::string, double>>& services = {
+          {"coach", 1}}) {
     wire::FleetConfiguration configuration;
     configuration.set_version(1);
     wire::Route& route = *configuration.add_routes();
@@ -25,7 +28,11 @@
     route.set_host("shop.example");
     route.set_path_prefix("/steps/");
     route.set_kind(wire::ROUTE_JOBS);
-    route.add_services()->set_service("coach");
+    for (const auto& [service, weight] : services) {
+      wire::WeightedService& part = *route.add_services();
+      part.set_service(service);
+      part.set_weight(weight);
+    }
     routes_ = std::make_shared<RouteTable>(configuration);
   }
 
@@ -37,6 +44,7 @@
                  const std::string&) override {}
   JobChange SubmitJob(Yield, const wire::JobSubmit& submit) override {
     submitted.push_back(submit.job());
+    ++jobs_by_service[submit.service()];
     return {ChangeOutcome::kDone};
   }
   JobChange EndJob(Yield, const std::string&, const std::string&) override {
@@ -57,13 +65,16 @@
   }
 
   std::vector<std::string> submitted;
+  std::map<std::string, int> jobs_by_service;
 
  private:
   RouteTablePtr routes_;
 };
 
 // Submits a batch job and returns the status of the answer.
-int Submit(FakeGateway& gateway, bool caller_disconnected) {
+int Submit(FakeGateway& gateway,
+           bool caller_disconnected,
+           const std::string& id = "9c41d07be2a35f68") {
   boost::asio::io_context io;
   int status = 0;
   Spawn(io, [&](Yield yield) {
@@ -71,7 +82,7 @@
     request.method = "POST";
     request.path = "/steps/1";
     request.headers.Set("Host", "shop.example");
-    request.headers.Set("Request-Attempt-Id", "9c41d07be2a35f68");
+    request.headers.Set("Request-Attempt-Id", id);
     request.body = R"({"items":[{"id":"a","path":"/x"}]})";
     FakeExchange exchange(yield, std::move(request));
     exchange.disconnected = caller_disconnected;
@@ -94,4 +105,28 @@
   cr_assert(gateway.submitted.size() == 1);
 }
 
+// Guards against a split whose weights only live requests obey: jobs went to
+// its first part, also with weight 0.
+Test(gateway_api, jobs_follow_the_weights_of_a_split) {
+  constexpr int kJobs = 200;
+  FakeGateway moved({{"coach", 0}, {"tutor", 100}});
+  FakeGateway split({{"coach", 75}, {"tutor", 25}});
+  for (int i = 0; i < kJobs; ++i) {
+    cr_assert_eq(Submit(moved, false, "job-" + std::to_string(i)), 202);
+    cr_assert_eq(Submit(split, false, "job-" + std::to_string(i)), 202);
+  }
+  cr_assert_eq(moved.jobs_by_service["tutor"], kJobs);
+  cr_assert_geq(split.jobs_by_service["tutor"], kJobs / 8);
+  cr_assert_leq(split.jobs_by_service["tutor"], kJobs * 3 / 8);
+}
+
+// Attempts of one submission may reach several gateways.
+Test(gateway_api, a_job_that_is_submitted_again_goes_to_the_same_service) {
+  FakeGateway first({{"coach", 1}, {"tutor", 1}});
+  for (int i = 0; i < 20; ++i) {
+    Submit(first, false);
+  }
+  cr_assert_eq(first.jobs_by_service.size(), 1);
+}
+
 }  // namespace limpethatch
--- a/tests/version/job_organisation_test.cc
+++ b/tests/version/job_organisation_test.cc
@@ -174,7 +174,9 @@
   configuration.set_version(2);
   wire::Route& route = *configuration.add_routes();
   route.set_kind(wire::ROUTE_JOBS);
-  route.add_services()->set_service("coach");
+  wire::WeightedService& part = *route.add_services();
+  part.set_service("coach");
+  part.set_weight(1);
   wire::JobSubmit submit;
   submit.set_configuration_version(1);
   submit.set_service("coach");
--- a/tests/version/job_route_test.cc
+++ b/tests/version/job_route_test.cc
@@ -16,7 +16,9 @@
   route.set_kind(wire::ROUTE_JOBS);
   route.set_host("drill.example");
   route.set_path_prefix(prefix);
-  route.add_services()->set_service(service);
+  wire::WeightedService& part = *route.add_services();
+  part.set_service(service);
+  part.set_weight(1);
   return configuration;
 }
 
@@ -45,6 +47,26 @@
                               MakeSubmit(7)));
 }
 
+// Guards against a split that moves a route away from a service: jobs went on
+// being accepted for the part with weight 0.
+Test(job_route, only_services_with_a_weight_are_in_force) {
+  wire::FleetConfiguration configuration =
+      MakeConfiguration(8, "/drill/", "coach");
+  wire::WeightedService& part =
+      *configuration.mutable_routes(0)->add_services();
+  part.set_service("tutor");
+  part.set_weight(100);
+  wire::JobSubmit submit = MakeSubmit(7);
+  for (const char* service : {"coach", "tutor"}) {
+    submit.set_service(service);
+    cr_assert(IsJobRouteInForce(configuration, submit), "%s", service);
+  }
+  configuration.mutable_routes(0)->mutable_services(0)->set_weight(0);
+  cr_assert(IsJobRouteInForce(configuration, submit));
+  submit.set_service("coach");
+  cr_assert_not(IsJobRouteInForce(configuration, submit));
+}
+
 Test(job_route, a_job_of_a_newer_or_unknown_configuration_is_not_refused) {
   const auto configuration = MakeConfiguration(8, "/other/", "tutor");
   cr_assert(IsJobRouteInForce(configuration, MakeSubmit(8)));
