Accept only final statuses from 200 to 599 as answers

Cause: the reader of answers took any number of three digits for the status of a final answer.

Change: in the one place where answers of other processes are read, interim answers (100, 102 to 199) are skipped, eight at most, and 101 and what is outside 200 to 599 is a malformed message: the call fails as one that may have run, and its connection is closed.

Evidence: before, http_test an_answer_with_a_status_outside_200_to_599_is_an_error failed at "000", interim_answers_are_skipped, and an_endless_answer_is_an_error_ after_a_bounded_number_of_bytes at "100 Continue" (that check accepted an answer with status 100 and is stricter now); gateway_test an_answer_with_an_odd_status_never_ reaches_the_caller failed at "000 /o/x" with the stamp. All pass now.

--- a/src/limpethatch/connection/internal/http_response_reader.cc
+++ b/src/limpethatch/connection/internal/http_response_reader.cc
@@ -17,6 +17,19 @@
 // Maximum size of what the parser cannot use yet: a header, or a line between
 // two chunks of a body.
 constexpr size_t kMaxUnparsedBytes = 64UL * 1024;
+// RFC 9110, section 15: no other answer is a final one.
+constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
+constexpr int kMaxInterimAnswers = 8;
+
+// Whether another answer follows. No request asks for another protocol, so that
+// 101 is never expected.
+bool IsInterim(int status) {
+  constexpr int kFirstInterim = 100;
+  constexpr int kSwitchingProtocols = 101;
+  return status >= kFirstInterim && status < kFirstFinalStatus &&
+         status != kSwitchingProtocols;
+}
 
 }  // namespace
 
@@ -29,34 +42,65 @@
     : pool_(std::move(pool)),
       endpoint_(std::move(endpoint)),
       connection_(std::move(connection)),
-      options_(options) {
-  parser_.skip(head);
-  parser_.body_limit(options_.max_body_bytes);
+      options_(options),
+      head_(head) {
+  ResetParser();
+}
+
+void HttpResponseReader::ResetParser() {
+  parser_.emplace();
+  parser_->skip(head_);
+  parser_->body_limit(options_.max_body_bytes);
 }
 
 std::error_code HttpResponseReader::ReadHeader(Yield yield) {
   SetExecutor(yield);
-  while (!parser_.is_header_done()) {
+  for (int interim_answers = 0;; ++interim_answers) {
+    if (const auto error = ReadOneHeader(yield)) {
+      return error;
+    }
+    status_ = static_cast<int>(parser_->get().result_int());
+    if (!IsInterim(status_)) {
+      break;
+    }
+    if (interim_answers == kMaxInterimAnswers) {
+      return HandleReadError(HttpError::kMalformed);
+    }
+    ResetParser();
+  }
+  if (status_ < kFirstFinalStatus || status_ > kLastStatus) {
+    return HandleReadError(HttpError::kMalformed);
+  }
+  headers_ = DecodeHeaders(parser_->get());
+  body_has_no_length_ = parser_->need_eof() && !parser_->is_done();
+  parser_->eager(true);
+  return {};
+}
+
+std::error_code HttpResponseReader::ReadOneHeader(Yield yield) {
+  // The header may have been read together with an interim answer.
+  if (connection_ && connection_->buffer.size() > 0) {
+    if (const auto error = Parse()) {
+      return error;
+    }
+  }
+  while (!parser_->is_header_done()) {
     if (const auto error = ReadAndParse(yield)) {
       return error;
     }
   }
-  status_ = static_cast<int>(parser_.get().result_int());
-  headers_ = DecodeHeaders(parser_.get());
-  body_has_no_length_ = parser_.need_eof() && !parser_.is_done();
-  parser_.eager(true);
   return {};
 }
 
 Result<std::string> HttpResponseReader::ReadBody(Yield yield) {
   SetExecutor(yield);
-  std::string& body = parser_.get().body();
-  if (connection_ && connection_->buffer.size() > 0 && !parser_.is_done()) {
+  std::string& body = parser_->get().body();
+  if (connection_ && connection_->buffer.size() > 0 && !parser_->is_done()) {
     if (const auto error = Parse()) {
       return error;
     }
   }
-  while (body.empty() && !parser_.is_done()) {
+  while (body.empty() && !parser_->is_done()) {
     if (const auto error = ReadAndParse(yield)) {
       return error;
     }
@@ -109,10 +153,10 @@
     return {};
   }
   beast::error_code error;
-  if (parser_.got_some()) {
-    parser_.put_eof(error);
+  if (parser_->got_some()) {
+    parser_->put_eof(error);
   }
-  return parser_.is_done() && !error
+  return parser_->is_done() && !error
              ? std::error_code()
              : HandleReadError(HttpError::kConnectionLost);
 }
@@ -132,10 +176,10 @@
 std::error_code HttpResponseReader::Parse() {
   beast::flat_buffer& buffer = connection_->buffer;
   bool progress = true;
-  while (progress && buffer.size() > 0 && !parser_.is_done()) {
+  while (progress && buffer.size() > 0 && !parser_->is_done()) {
     beast::error_code error;
-    const bool header_was_done = parser_.is_header_done();
-    const size_t used = parser_.put(buffer.data(), error);
+    const bool header_was_done = parser_->is_header_done();
+    const size_t used = parser_->put(buffer.data(), error);
     buffer.consume(used);
     if (error == http::error::body_limit) {
       return HandleReadError(HttpError::kBodyTooLarge);
@@ -145,17 +189,17 @@
     }
     progress = header_was_done && used > 0;
   }
-  return buffer.size() > kMaxUnparsedBytes && !parser_.is_done()
+  return buffer.size() > kMaxUnparsedBytes && !parser_->is_done()
              ? HandleReadError(HttpError::kMalformed)
              : std::error_code();
 }
 
 void HttpResponseReader::ReleaseIfDone() {
-  if (!connection_ || !parser_.is_done()) {
+  if (!connection_ || !parser_->is_done()) {
     return;
   }
   auto connection = std::move(connection_);
-  if (parser_.keep_alive() && !parser_.need_eof() &&
+  if (parser_->keep_alive() && !parser_->need_eof() &&
       connection->buffer.size() == 0) {
     pool_->Release(endpoint_, std::move(connection));
   }
--- a/src/limpethatch/connection/internal/http_response_reader.h
+++ b/src/limpethatch/connection/internal/http_response_reader.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "limpethatch/connection/internal/http_connection_pool.h"
@@ -22,6 +23,7 @@
                      const HttpCallOptions& options,
                      bool head);
 
+  // Reads up to the header of the final answer.
   std::error_code ReadHeader(Yield yield);
   int status() const { return status_; }
   const HttpHeaders& headers() const { return headers_; }
@@ -38,6 +40,9 @@
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void SetExecutor(Yield yield);
+  // Prepares the parser for the next message on the connection.
+  void ResetParser();
+  std::error_code ReadOneHeader(Yield yield);
   // Reads once from the socket and passes the bytes to the parser.
   std::error_code ReadAndParse(Yield yield);
   std::error_code Parse();
@@ -49,7 +54,8 @@
   Endpoint endpoint_;
   std::unique_ptr<HttpConnection> connection_;
   HttpCallOptions options_;
-  Parser parser_;
+  const bool head_;  // The answer to a HEAD request has no body.
+  std::optional<Parser> parser_;
   int status_ = 0;
   HttpHeaders headers_;
   bool body_has_no_length_ = false;
--- a/tests/connection/http_test.cc
+++ b/tests/connection/http_test.cc
@@ -412,12 +412,80 @@
     cr_assert_lt(server.bytes_sent(), kSocketBuffers, "%s%s", prefix.c_str(),
                  pattern.c_str());
     cr_assert_leq(outcome.response.body.size(), options.max_body_bytes);
-    const bool interim = outcome.response.status == 100;
-    cr_assert(interim || outcome.progress != CallProgress::kAnswered, "%s%s",
+    cr_assert(outcome.progress != CallProgress::kAnswered, "%s%s",
               prefix.c_str(), pattern.c_str());
   }
 }
 
+// Calls a server that reads a request, sends `answer` and closes.
+HttpOutcome CallServerWith(const std::string& answer) {
+  using boost::asio::ip::tcp;
+  boost::asio::io_context io;
+  tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
+  Spawn(io, [&](Yield yield) {
+    boost::system::error_code error;
+    tcp::socket socket(io);
+    acceptor.async_accept(socket, yield[error]);
+    std::string request(4096, '\0');
+    socket.async_read_some(boost::asio::buffer(request), yield[error]);
+    boost::asio::async_write(socket, boost::asio::buffer(answer), yield[error]);
+  });
+  HttpClient client(io, {});
+  HttpOutcome outcome;
+  bool done = false;
+  Spawn(io, [&](Yield yield) {
+    HttpCallOptions options;
+    options.deadline = Clock::now() + kTestLimit;
+    outcome =
+        client.Call(yield, {"127.0.0.1", acceptor.local_endpoint().port()},
+                    Get("/"), options);
+    done = true;
+  });
+  io.run_for(kTestLimit);
+  cr_assert(done);
+  return outcome;
+}
+
+// Guards against passing on what is no answer: a target in trouble sent the
+// status 000.
+Test(http, an_answer_with_a_status_outside_200_to_599_is_an_error) {
+  for (const char* status :
+       {"000", "001", "099", "101", "600", "666", "999", "1000", "20", "2x0"}) {
+    const HttpOutcome outcome = CallServerWith(
+        "HTTP/1.1 " + std::string(status) +
+        " Odd\r\nServer-Stamp: s\r\nContent-Length: 2\r\n\r\nok");
+    cr_assert(outcome.progress == CallProgress::kMaybeRan, "%s", status);
+    cr_assert(outcome.error == HttpError::kMalformed, "%s: %s", status,
+              outcome.error.message().c_str());
+    cr_assert(outcome.response.body.empty(), "%s", status);
+  }
+  for (const int status : {200, 299, 304, 418, 429, 503, 599}) {
+    const HttpOutcome outcome =
+        CallServerWith("HTTP/1.1 " + std::to_string(status) +
+                       " Known\r\nContent-Length: 0\r\n\r\n");
+    cr_assert(outcome.progress == CallProgress::kAnswered, "%d", status);
+    cr_assert_eq(outcome.response.status, status);
+  }
+}
+
+// Guards against taking an interim answer for the final one.
+Test(http, interim_answers_are_skipped) {
+  const std::string final_answer =
+      "HTTP/1.1 201 Created\r\nServer-Stamp: s\r\nContent-Length: 2\r\n\r\nok";
+  for (const std::string interim :
+       {"HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 a\r\n\r\n"}) {
+    const HttpOutcome outcome = CallServerWith(interim + final_answer);
+    cr_assert(outcome.progress == CallProgress::kAnswered, "%s: %s",
+              interim.c_str(), outcome.error.message().c_str());
+    cr_assert_eq(outcome.response.status, 201);
+    cr_assert(outcome.response.headers.Get("Server-Stamp") == "s");
+    cr_assert(outcome.response.headers.Get("Link").empty());
+    cr_assert(outcome.response.body == "ok");
+    cr_assert(CallServerWith(interim).error == HttpError::kConnectionLost);
+  }
+}
+
 // An answer that ended within its head was passed on as one with an empty body.
 Test(http, an_answer_cut_at_any_byte_of_its_head_is_an_error) {
   const std::string head =
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -1405,6 +1405,39 @@
   }
 }
 
+// Guards against passing on what is no answer of a target: the status 000 of a
+// target in trouble, or an interim answer as the final one.
+Test(gateway, an_answer_with_an_odd_status_never_reaches_the_caller) {
+  const std::string rest = std::string(" Odd\r\nRequest-Attempt-Id: ") +
+                           kAttemptId +
+                           "\r\nServer-Stamp: stamp\r\n"
+                           "Content-Length: 2\r\n\r\nok";
+  for (const char* status : {"000", "099", "100", "101", "199", "600", "999"}) {
+    for (const char* path : {"/o/x", "/l/x", "/s/x"}) {
+      ClosingTarget target("HTTP/1.1 " + std::string(status) + rest);
+      GatewayFixture fixture;
+      fixture.control->AddTarget("i-1", target.endpoint());
+      fixture.control->Start();
+      fixture.Start();
+      cr_assert(fixture.WaitUntilReady(true));
+      const std::string received = fixture.Call(Post(path));
+      cr_assert(StatusOf(received) == "502", "%s %s\n%s", status, path,
+                received.c_str());
+      cr_assert(received.find("Server-Stamp") == std::string::npos);
+      cr_assert_eq(target.calls, 1);
+    }
+  }
+  ClosingTarget target("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200" + rest);
+  GatewayFixture fixture;
+  fixture.control->AddTarget("i-1", target.endpoint());
+  fixture.control->Start();
+  fixture.Start();
+  cr_assert(fixture.WaitUntilReady(true));
+  const std::string received = fixture.Call(Post("/o/x"));
+  cr_assert(StatusOf(received) == "200", "%s", received.c_str());
+  cr_assert(received.ends_with("\r\n\r\nok"));
+}
+
 // The text of an error, at times with its head, stood in the middle of a stream
 // that had broken off, or the stream ended as if it were complete.
 Test(gateway, a_stream_that_breaks_off_is_never_mixed_with_another_answer) {
