Announce a whole entry in instance_outside_group_test

The announcement of this test had `models` without `stage`, which no target sends, and is refused since, so that the test waited for its acknowledgement until its time ran out. It has both members now.

Measured: all 41 tests of limpethatch_control_test pass; before, the program was stopped after 300 s.

--- a/tests/control/instance_outside_group_test.cc
+++ b/tests/control/instance_outside_group_test.cc
@@ -7,10 +7,10 @@
 
 constexpr const char* kAnnouncement =
     "PUT /v1/instances/i-1 HTTP/1.1\r\nHost: control\r\n"
-    "Content-Type: application/json\r\nContent-Length: 162\r\n\r\n"
+    "Content-Type: application/json\r\nContent-Length: 177\r\n\r\n"
     R"({"service":"desk","address":"127.0.0.1:9","zone":"z","version":"v1",)"
     R"("slots":6,"state":"ready","cold_remaining_ms":0,"sequence":1,)"
-    R"("born":1777140000000,"models":[]})";
+    R"("born":1777140000000,"stage":"both","models":[]})";
 
 std::string Announce(const Endpoint& api) {
   return ExchangeBytes(api, kAnnouncement);
