Refuse announcements whose models lack adapters

The pages name `adapters` as a member of each model, and an entry with a member missing or of another type names no target to use.

Measured: announcement_test failed before at {"name":"model","version":1} (answered 200) and passes now.

--- a/tests/control/announcement_test.cc
+++ b/tests/control/announcement_test.cc
@@ -97,6 +97,14 @@
     cr_assert_eq(Announce(fixture, "agent-" + name, incomplete), 400, "%s",
                  name.c_str());
   }
+  for (const char* model :
+       {R"({"version":1,"adapters":[]})", R"({"name":"model","adapters":[]})",
+        R"({"name":"model","version":1})",
+        R"({"name":"model","version":1,"adapters":"none"})", "1"}) {
+    Members incomplete = other;
+    incomplete["models"] = "[" + std::string(model) + "]";
+    cr_assert_eq(Announce(fixture, "agent", incomplete), 400, "%s", model);
+  }
   Members without_models = other;
   without_models.erase("stage");
   without_models.erase("models");
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -81,7 +81,7 @@
   const std::string valid =
       R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",
           "slots":12,"state":"ready","cold_remaining_ms":0,"stage":"both",
-          "born":1770000000000,"models":[{"name":"m","version":3}],
+          "born":1770000000000,"models":[{"name":"m","version":3,"adapters":[]}],
           "sequence":4})";
   wire::TargetRecord target;
   std::string problem;
@@ -115,7 +115,7 @@
   const std::string valid =
       R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",
           "slots":12,"state":"ready","cold_remaining_ms":0,"stage":"both",
-          "born":1770000000000,"models":[{"name":"m","version":3}],
+          "born":1770000000000,"models":[{"name":"m","version":3,"adapters":[]}],
           "sequence":4})";
   const auto refused = [&](std::string_view id, std::string_view from,
                            const std::string& to) {
