Count only answers of 500 as failed attempts of samples

A sample could be given up (`dead`) after three answers that say nothing about it: any status but 200 and 422 counted as a failed attempt, such as 404 or 503 without Not-Run from an engine in trouble.

Change: any other status ends the run as broken (unexpected_status), and the sample runs again on another engine.

--- a/src/programs/control/sample_runner.cc
+++ b/src/programs/control/sample_runner.cc
@@ -263,6 +263,9 @@
     case platform::SampleAnswer::kFailed:
       run->reason = "engine_error";
       return RecordFailure(run);
+    case platform::SampleAnswer::kUnexpectedStatus:
+      run->reason = "unexpected_status";
+      return RunOutcome::kBroken;
     default:
       run->reason = "answer_of_another_request";
       return RunOutcome::kBroken;
--- a/tests/control/sample_runner_test.cc
+++ b/tests/control/sample_runner_test.cc
@@ -222,6 +222,29 @@
   cr_assert(fixture.recorded.empty());
 }
 
+// Guards against a sample that is given up after odd answers of engines in
+// trouble: only an error of their own is a failed attempt.
+Test(sample_runner,
+     only_a_500_counts_as_a_failed_attempt,
+     .timeout = 30) {
+  RunnerFixture fixture;
+  int engines = 0;
+  for (const char* status :
+       {"000 Odd", "600 Odd", "404 Not Found", "503 Service Unavailable"}) {
+    for (int i = 0; i < 2; ++i) {
+      BreakingEngine engine("", "", status);
+      fixture.Run(engine, "i-" + std::to_string(++engines), "v1");
+    }
+  }
+  fixture.runner.Flush();
+  cr_assert(fixture.recorded.empty());
+  cr_assert_eq(fixture.runner.counters().failed, 0);
+  BreakingEngine engine("", "", "500 Internal Server Error");
+  fixture.Run(engine, "i-500", "v1");
+  fixture.runner.Flush();
+  cr_assert_eq(fixture.recorded.size(), 1);
+}
+
 // Guards against a label of weights that did not generate the text.
 Test(sample_runner, an_answer_that_states_older_weights_is_not_recorded) {
   BreakingEngine by_header("", "id: 1\ndata: a\n\n", "200 OK", "4");
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -369,6 +369,13 @@
             SampleAnswer::kFailed);
   cr_assert(DecodeSampleHead(422, headers, "e5").answer ==
             SampleAnswer::kUnprocessable);
+  // Guards against a sample that is given up after answers that are no failed
+  // attempts.
+  for (const int status : {201, 204, 302, 400, 404, 418, 501, 502, 503, 504}) {
+    cr_assert(DecodeSampleHead(status, headers, "e5").answer ==
+                  SampleAnswer::kUnexpectedStatus,
+              "%d", status);
+  }
   cr_assert(DecodeSampleHead(200, headers, "other").answer ==
             SampleAnswer::kMismatched);
   headers.Set("Not-Run", "1");
