--- a/tests/control/sample_runner_test.cc
+++ b/tests/control/sample_runner_test.cc
@@ -224,9 +224,7 @@
 
 // Guards against a sample that is given up after odd answers of engines in
 // trouble: only an error of their own is a failed attempt.
-Test(sample_runner,
-     only_a_500_counts_as_a_failed_attempt,
-     .timeout = 30) {
+Test(sample_runner, only_a_500_counts_as_a_failed_attempt, .timeout = 30) {
   RunnerFixture fixture;
   int engines = 0;
   for (const char* status :
