Tests: name what an engine answers, share what stands twice

The fake engine of sample_runner_test takes a struct with named members instead of four texts. leaving_target_test and announcement_test share a reader of the news of targets, and two tests of http_test the call of a server that closes. What the tests check is the same.

Measured: the tests of these programs pass that were touched (sample_runner 11, http 16, announcement 1, leaving_target 1).

--- a/tests/connection/http_test.cc
+++ b/tests/connection/http_test.cc
@@ -490,35 +490,11 @@
 Test(http, an_answer_cut_at_any_byte_of_its_head_is_an_error) {
   const std::string head =
       "HTTP/1.1 200 OK\r\nServer-Stamp: stamp\r\nContent-Type: a\r\n\r\n";
-  using boost::asio::ip::tcp;
-  boost::asio::io_context io;
-  tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
-  HttpClient client(io, {});
-  const Endpoint endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
   for (size_t length = 0; length < head.size(); ++length) {
-    Spawn(io, [&](Yield yield) {
-      boost::system::error_code error;
-      tcp::socket socket(io);
-      acceptor.async_accept(socket, yield[error]);
-      std::string request(4096, '\0');
-      socket.async_read_some(boost::asio::buffer(request), yield[error]);
-      boost::asio::async_write(
-          socket, boost::asio::buffer(head.substr(0, length)), yield[error]);
-    });
-    bool done = false;
-    Spawn(io, [&](Yield yield) {
-      HttpCallOptions options;
-      options.deadline = Clock::now() + kTestLimit;
-      const HttpOutcome outcome =
-          client.Call(yield, endpoint, Get("/"), options);
-      cr_assert(outcome.error == HttpError::kConnectionLost, "cut at %zu: %s",
-                length, outcome.error.message().c_str());
-      cr_assert(outcome.progress == CallProgress::kMaybeRan);
-      done = true;
-    });
-    io.restart();
-    io.run_for(kTestLimit);
-    cr_assert(done);
+    const HttpOutcome outcome = CallServerWith(head.substr(0, length));
+    cr_assert(outcome.error == HttpError::kConnectionLost, "cut at %zu: %s",
+              length, outcome.error.message().c_str());
+    cr_assert(outcome.progress == CallProgress::kMaybeRan);
   }
 }
 
--- a/tests/control/announcement_test.cc
+++ b/tests/control/announcement_test.cc
@@ -1,7 +1,7 @@
 #include <map>
 #include <string>
 
-#include "control/control_fixture.h"
+#include "control/target_news.h"
 #include "platform/control_api.h"
 #include "platform/fake_exchange.h"
 
@@ -13,30 +13,6 @@
 constexpr const char* kEngineAddress = "127.0.0.8:80";
 constexpr uint64_t kEngineBorn = 1'770'000'000'000;
 
-// Follows the news of targets, as a gateway does.
-class Gateway {
- public:
-  explicit Gateway(ControlFixture& fixture)
-      : endpoint_(FreeEndpoint()),
-        messenger_(fixture.io(), {}, [this](auto bytes) {
-          wire::Envelope envelope;
-          cr_assert(envelope.ParseFromArray(bytes.data(),
-                                            static_cast<int>(bytes.size())));
-          for (const auto& target : envelope.fleet_news().targets()) {
-            targets[target.id()] = target;
-          }
-        }) {
-    cr_assert(!messenger_.Listen(endpoint_));
-    fixture.Watch("gateway", endpoint_, 1);
-  }
-
-  std::map<std::string, wire::TargetRecord> targets;
-
- private:
-  const Endpoint endpoint_;
-  Messenger messenger_;
-};
-
 using Members = std::map<std::string, std::string>;
 
 // What an engine announces: the JSON text of each member.
@@ -83,7 +59,7 @@
 Test(announcement, an_entry_with_a_missing_member_takes_no_address) {
   ControlFixture fixture;
   fixture.PutConfiguration(1, 1);
-  Gateway gateway(fixture);
+  TargetNews news(fixture);
   cr_assert_eq(
       Announce(fixture, "i-1", AnnouncementOf(kEngineAddress, kEngineBorn)),
       200);
@@ -112,10 +88,10 @@
   cr_assert_eq(
       Announce(fixture, "i-2", AnnouncementOf("127.0.0.9:80", kEngineBorn)),
       200);
-  fixture.RunUntil([&] { return gateway.targets.contains("i-2"); });
-  cr_assert(gateway.targets.contains("i-1"));
-  cr_assert_not(gateway.targets["i-1"].gone());
-  cr_assert_eq(gateway.targets.size(), 2);
+  fixture.RunUntil([&] { return news.targets.contains("i-2"); });
+  cr_assert(news.targets.contains("i-1"));
+  cr_assert_not(news.targets["i-1"].gone());
+  cr_assert_eq(news.targets.size(), 2);
 }
 
 }  // namespace limpethatch
--- a/tests/control/leaving_target_test.cc
+++ b/tests/control/leaving_target_test.cc
@@ -1,45 +1,15 @@
 #include <string>
 
-#include "control/control_fixture.h"
+#include "control/target_news.h"
 
 #include <criterion/criterion.h>
 
 namespace limpethatch {
-namespace {
-
-// Whether the last news that the control instance sent lists i-1 as draining.
-class Gateway {
- public:
-  explicit Gateway(ControlFixture& fixture)
-      : endpoint_(FreeEndpoint()),
-        messenger_(fixture.io(), {}, [this](auto bytes) {
-          wire::Envelope envelope;
-          cr_assert(envelope.ParseFromArray(bytes.data(),
-                                            static_cast<int>(bytes.size())));
-          for (const auto& target : envelope.fleet_news().targets()) {
-            draining = target.draining();
-            ++records;
-          }
-        }) {
-    cr_assert(!messenger_.Listen(endpoint_));
-  }
-
-  const Endpoint& endpoint() const { return endpoint_; }
-  bool draining = false;
-  int records = 0;
-
- private:
-  const Endpoint endpoint_;
-  Messenger messenger_;
-};
-
-}  // namespace
 
 // Guards against other gateways using a target that told one of them that it is
 // leaving, though it still announces itself as ready.
 Test(leaving_target, a_report_of_one_gateway_reaches_the_others) {
   ControlFixture fixture;
-  Gateway gateway(fixture);
   wire::Envelope digest;
   digest.mutable_control_digest()->mutable_sender()->set_id("127.0.0.9");
   digest.mutable_control_digest()->mutable_sender()->set_endpoint(
@@ -51,16 +21,16 @@
   target.set_born_ms(5);
   target.set_sequence(1);
   fixture.Receive(digest);
-  fixture.Watch("gateway", gateway.endpoint(), 0);
-  fixture.RunUntil([&] { return gateway.records == 1; });
-  cr_assert_not(gateway.draining);
+  TargetNews news(fixture);
+  fixture.RunUntil([&] { return news.targets.contains("i-1"); });
+  cr_assert_not(news.targets["i-1"].draining());
   wire::Envelope report;
   report.mutable_request()->set_id(1);
   report.mutable_request()->set_reply_to(FreeEndpoint().ToString());
   report.mutable_request()->mutable_target_leaving()->set_target("i-1");
   report.mutable_request()->mutable_target_leaving()->set_incarnation(5);
   fixture.Receive(report);
-  fixture.RunUntil([&] { return gateway.draining; });
+  fixture.RunUntil([&] { return news.targets["i-1"].draining(); });
 }
 
 }  // namespace limpethatch
--- a/tests/control/sample_runner_test.cc
+++ b/tests/control/sample_runner_test.cc
@@ -19,20 +19,19 @@
 
 using boost::asio::ip::tcp;
 
-// An engine that answers one request with `events`, by default two and a part
-// of the third, and keeps the head of the request.
+// What an engine answers; by default two events and a part of the third.
+struct EngineAnswer {
+  std::string status = "200 OK";
+  std::string weights = "5";
+  std::string more_headers{};
+  std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
+};
+
+// An engine that answers one request, and keeps its head.
 class BreakingEngine {
  public:
-  explicit BreakingEngine(
-      std::string header = "",
-      std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda",
-      std::string status = "200 OK",
-      std::string weights = "5")
-      : endpoint_(FreeEndpoint()),
-        header_(std::move(header)),
-        events_(std::move(events)),
-        status_(std::move(status)),
-        weights_(std::move(weights)) {
+  explicit BreakingEngine(EngineAnswer answer = {})
+      : endpoint_(FreeEndpoint()), answer_(std::move(answer)) {
     acceptor_.open(tcp::v4());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(
@@ -54,20 +53,17 @@
     boost::asio::read_until(socket, boost::asio::dynamic_buffer(request_head_),
                             "\r\n\r\n", ignored);
     const std::string answer =
-        "HTTP/1.1 " + status_ +
+        "HTTP/1.1 " + answer_.status +
         "\r\nRequest-Attempt-Id: sample\r\n"
         "Server-Stamp: stamp\r\nWeight-Versions: " +
-        weights_ + "\r\n" + header_ +
-        "Content-Length: " + std::to_string(events_.size()) + "\r\n\r\n" +
-        events_;
+        answer_.weights + "\r\n" + answer_.more_headers +
+        "Content-Length: " + std::to_string(answer_.events.size()) +
+        "\r\n\r\n" + answer_.events;
     boost::asio::write(socket, boost::asio::buffer(answer), ignored);
   }
 
   const Endpoint endpoint_;
-  const std::string header_;
-  const std::string events_;
-  const std::string status_;
-  const std::string weights_;
+  const EngineAnswer answer_;
   boost::asio::io_context io_;
   tcp::acceptor acceptor_{io_};
   std::string request_head_;
@@ -122,8 +118,8 @@
            const std::string& software_version,
            uint64_t version = 5) {
     Announce(engine.endpoint(), id, software_version);
-    if (version > 5) {
-      // An answer has stated a version that was put into force.
+    if (version != 5) {
+      // An earlier answer has stated this version, which was put into force.
       scheduler.engine_table().SetNewestVersions({{"model", version}});
       scheduler.engine_table().ConfirmVersion(id, "model", version);
     }
@@ -196,7 +192,7 @@
 Test(sample_runner,
      an_event_that_is_not_utf8_ends_its_run_only,
      .timeout = 30) {
-  BreakingEngine engine("", "id: 1\ndata: a\n\nid: 2\ndata: \xFF\n\n");
+  BreakingEngine engine({.events = "id: 1\ndata: a\n\nid: 2\ndata: \xFF\n\n"});
   RunnerFixture fixture;
   fixture.Run(engine, "i-1", "v1");
   fixture.runner.Flush();
@@ -211,8 +207,8 @@
 // asked for weights that nobody had named, and no other engine loaded those
 // that were.
 Test(sample_runner, an_answer_that_states_unknown_weights_is_not_believed) {
-  BreakingEngine by_header("", "id: 1\ndata: a\n\n", "200 OK", "9");
-  BreakingEngine by_event("", "id: 1\nweight-versions: 9\ndata: a\n\n");
+  BreakingEngine by_header({.weights = "9", .events = "id: 1\ndata: a\n\n"});
+  BreakingEngine by_event({.events = "id: 1\nweight-versions: 9\ndata: a\n\n"});
   RunnerFixture fixture;
   fixture.Run(by_header, "i-1", "v1");
   fixture.Run(by_event, "i-2", "v1");
@@ -230,14 +226,14 @@
   for (const char* status :
        {"000 Odd", "600 Odd", "404 Not Found", "503 Service Unavailable"}) {
     for (int i = 0; i < 2; ++i) {
-      BreakingEngine engine("", "", status);
+      BreakingEngine engine({.status = status, .events = ""});
       fixture.Run(engine, "i-" + std::to_string(++engines), "v1");
     }
   }
   fixture.runner.Flush();
   cr_assert(fixture.recorded.empty());
   cr_assert_eq(fixture.runner.counters().failed, 0);
-  BreakingEngine engine("", "", "500 Internal Server Error");
+  BreakingEngine engine({.status = "500 Internal Server Error", .events = ""});
   fixture.Run(engine, "i-500", "v1");
   fixture.runner.Flush();
   cr_assert_eq(fixture.recorded.size(), 1);
@@ -245,8 +241,8 @@
 
 // Guards against a label of weights that did not generate the text.
 Test(sample_runner, an_answer_that_states_older_weights_is_not_recorded) {
-  BreakingEngine by_header("", "id: 1\ndata: a\n\n", "200 OK", "4");
-  BreakingEngine by_event("", "id: 1\nweight-versions: 4\ndata: a\n\n");
+  BreakingEngine by_header({.weights = "4", .events = "id: 1\ndata: a\n\n"});
+  BreakingEngine by_event({.events = "id: 1\nweight-versions: 4\ndata: a\n\n"});
   RunnerFixture fixture;
   fixture.Run(by_header, "i-1", "v1");
   fixture.Run(by_event, "i-2", "v1");
@@ -257,7 +253,10 @@
 // Guards against a wrong belief that nothing corrects: the engine refused the
 // version again and again, and counted as one that has it.
 Test(sample_runner, an_engine_that_refuses_a_version_does_not_have_it) {
-  BreakingEngine engine("Not-Run: 1\r\n", "", "421 Misdirected", "0");
+  BreakingEngine engine({.status = "421 Misdirected",
+                         .weights = "0",
+                         .more_headers = "Not-Run: 1\r\n",
+                         .events = ""});
   RunnerFixture fixture;
   fixture.Run(engine, "i-1", "v1", 7);
   cr_assert_eq(fixture.BelievedVersion("i-1"), 5);
@@ -271,7 +270,7 @@
     events += "id: " + std::to_string(id) +
               "\ndata: " + std::string(1000, 'x') + "\n\n";
   }
-  BreakingEngine engine("", events);
+  BreakingEngine engine({.events = events});
   RunnerFixture fixture(kPromptTokens + 100);
   fixture.Run(engine, "i-1", "v1");
   fixture.runner.Flush();
@@ -292,7 +291,7 @@
   for (int id = 1; id <= 100; ++id) {
     events += "id: " + std::to_string(id) + "\ndata: \n\n";
   }
-  BreakingEngine engine("", events);
+  BreakingEngine engine({.events = events});
   RunnerFixture fixture(kPromptTokens + 100);
   fixture.Run(engine, "i-1", "v1");
   cr_assert_eq(fixture.runner.counters().limits_exceeded, 1);
@@ -328,7 +327,7 @@
 // Guards against sending further samples to an engine that leaves.
 Test(sample_runner, an_engine_that_says_it_leaves_is_reported) {
   BreakingEngine staying;
-  BreakingEngine leaving("Server-Leaving: 1\r\n");
+  BreakingEngine leaving({.more_headers = "Server-Leaving: 1\r\n"});
   RunnerFixture fixture;
   fixture.Run(staying, "i-1", "v1");
   cr_assert_eq(fixture.leaving, 0);
