--- a/review/common-3/samplers.py
+++ b/review/common-3/samplers.py
@@ -31,6 +31,7 @@
     def __init__(self, sampler, request, started):
         self.sampler, self.request, self.started = sampler, request, started
         self.ended = None
+        self.complete = False
 
 
 class Request:
@@ -45,16 +46,20 @@
 
     `work(sampler, request)` gives the seconds that a plain request takes.
     `outcome(sampler, request)`, if set, may return a status of its own for a
-    request that ran. Every request that begins to run is in `runs`.
+    request that ran. Every request that begins to run is in `runs`. With
+    `drops_idle_after`, it drops a connection that was idle for that many seconds
+    without notice: what is sent next on it is reset.
     """
 
     def __init__(self, deployment, service, zone, number, slots=6, queue=24,
                  work=0.025, models=None, event_s=0.03, events=12,
-                 load_s=0.9, checks_fences=True):
+                 load_s=0.9, checks_fences=True, drops_idle_after=None):
         self.deployment, self.service, self.zone = deployment, service, zone
         self.number, self.slots, self.queue = number, slots, queue
         self.work, self.models, self.event_s, self.events = work, models, event_s, events
         self.load_s, self.checks_fences = load_s, checks_fences
+        self.drops_idle_after = drops_idle_after
+        self.dropped = 0
         self.record = deployment.record
         self.host = f"{deployment.net}.{100 + number}.10"
         self.port = None
@@ -158,17 +163,25 @@
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
+        idle_since = None  # Set after the first answer.
         try:
             while self.serving:
                 head = await read_head(reader)
                 if head is None:
                     return
+                if (self.drops_idle_after is not None and idle_since is not None
+                        and time.monotonic() - idle_since > self.drops_idle_after):
+                    # It had dropped the idle connection without notice.
+                    self.dropped += 1
+                    reset(writer)
+                    return
                 line, headers = head
                 method, target, _ = line.split(" ", 2)
                 body = await read_body(reader, headers)
                 request = Request(method, target, headers, body, time.monotonic())
                 if not await self.answer(request, reader, writer):
                     return
+                idle_since = time.monotonic()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
@@ -320,6 +333,7 @@
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
         run.ended = time.monotonic()
+        run.complete = True
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
