Review: a deployment that has ended starts no process again

The stand-in of the platform could start a process after the end of a run, as trials with chaos runs showed; the cases' own runs had left none.

--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -75,6 +75,8 @@
         self.start()
 
     def start(self):
+        if self.deployment.closed:
+            return
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(
                 [str(part) for part in self.command], stdout=log,
@@ -186,6 +188,7 @@
         if not (BIN / "limpethatch-gateway").exists():
             raise CannotRun("target/bin holds no programs: build as the deploy file says")
         self.record = record
+        self.closed = False
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="limpethatch-review-"))
         self.net = f"127.{random.randrange(20, 250)}"
         self.control_hosts = [f"{self.net}.{i % 3 + 1}.{20 + i}" for i in range(controls)]
@@ -316,6 +319,7 @@
         return found
 
     async def close(self):
+        self.closed = True
         for task in self.tasks:
             task.cancel()
         for sampler in self.samplers:
