Bound the times and counts that others state

Cause: ExpireJobs compared a job's age with milliseconds(max_queue_ms). The comparison converts to nanoseconds and overflows to a negative time. The same in Deadline-Ms, Wait-Ms, timeout_ms, the limits' time-outs and times in messages; priority, max_attempts, connection_limit, stride, group_count and load figures of 2^32 became 0.

Change: BoundedTime, BoundedCast, BoundedSize and ParseBounded convert all numbers of configurations, headers, batch jobs, settings, messages and stored jobs. A number out of range becomes the nearest bound on every platform; no configuration is refused for one. Stored jobs are bounded where their numbers are used, so no record changes.

--- a/src/limpethatch/process/membership_receive.cc
+++ b/src/limpethatch/process/membership_receive.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "limpethatch/process/bounded_number.h"
 #include "limpethatch/process/internal/gossip_codec.h"
 #include "limpethatch/process/internal/reconcile.h"
 #include "limpethatch/process/membership.h"
@@ -30,6 +31,7 @@
   if (message.from() == self_key_ || message.sent_ms() > kMaxSentMs) {
     return;
   }
+  // Bounded above.
   const auto sent = std::chrono::milliseconds(message.sent_ms());
   const TimePoint at =
       now - delay_estimator_.ExcessDelay(message.from(), sent, now);
@@ -149,7 +151,8 @@
                               TimePoint at,
                               TimePoint now) {
   for (const wire::MemberMark& mark : message.marks()) {
-    const Duration age = now - at + std::chrono::seconds(mark.age_s());
+    const Duration age =
+        now - at + BoundedTime<std::chrono::seconds>(mark.age_s());
     if (marks_.Merge(mark.key(), mark.value(), age, now)) {
       mark_rumors_.Add(mark.key(), kMarkRumorRounds);
       output_.changed_marks.push_back(mark.key());
--- a/src/limpethatch/process/units.cc
+++ b/src/limpethatch/process/units.cc
@@ -6,6 +6,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "limpethatch/process/bounded_number.h"
+
 namespace limpethatch {
 namespace {
 
@@ -49,7 +51,8 @@
 
 bool ParseDuration(std::string_view text, Duration* duration) {
   double nanoseconds = 0;
-  if (!ParseWithUnit(text, kTimeUnits, &nanoseconds)) {
+  if (!ParseWithUnit(text, kTimeUnits, &nanoseconds) ||
+      nanoseconds > static_cast<double>(kMaxBoundedTime.count())) {
     return false;
   }
   *duration = std::chrono::nanoseconds(std::llround(nanoseconds));
@@ -61,7 +64,7 @@
   if (!ParseWithUnit(text, kSizeUnits, &value)) {
     return false;
   }
-  *bytes = static_cast<uint64_t>(value);
+  *bytes = BoundedSize(value);
   return true;
 }
 
--- a/src/limpethatch/process/units.h
+++ b/src/limpethatch/process/units.h
@@ -11,11 +11,11 @@
 namespace limpethatch {
 
 // Parses a duration with a unit of us, ms, s, min or h, such as "1.5s". Returns
-// false for any other text.
+// false for any other text and for more than kMaxBoundedTime.
 bool ParseDuration(std::string_view text, Duration* duration);
 
-// Parses a size with a unit of B, KiB, MiB or GiB, such as "16KiB". Returns
-// false for any other text.
+// Parses a size with a unit of B, KiB, MiB or GiB, such as "16KiB", bounded by
+// kMaxBoundedSize. Returns false for any other text.
 bool ParseByteSize(std::string_view text, uint64_t* bytes);
 
 // Formats a duration for ParseDuration, in the largest unit in which it is at
--- a/src/programs/control/burn_reporter.cc
+++ b/src/programs/control/burn_reporter.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 
+#include "limpethatch/process/bounded_number.h"
 #include "limpethatch/version/manifest_reader.h"
 
 namespace limpethatch {
@@ -62,7 +63,7 @@
           {request.from(),
            request.hello().boot(),
            tally.service(),
-           milliseconds(tally.age_ms()),
+           BoundedTime<milliseconds>(tally.age_ms()),
            {tally.good(), tally.late(), tally.refused(), tally.failed()}},
           now);
     }
--- a/src/programs/control/fleet_leader.cc
+++ b/src/programs/control/fleet_leader.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "limpethatch/process/bounded_number.h"
 #include "limpethatch/process/log.h"
 #include "programs/control/fleet_service.h"
 
@@ -193,8 +194,9 @@
       }
       continue;
     }
-    const bool overdue = job.submit.max_queue_ms() > 0 &&
-                         age > milliseconds(job.submit.max_queue_ms());
+    const bool overdue =
+        job.submit.max_queue_ms() > 0 &&
+        age > BoundedTime<milliseconds>(job.submit.max_queue_ms());
     for (uint32_t index = 0;
          overdue && !job.ended && index < job.samples.size(); ++index) {
       if (job.samples[index].state == wire::SAMPLE_OPEN) {
--- a/src/programs/control/fleet_members.cc
+++ b/src/programs/control/fleet_members.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "limpethatch/process/bounded_number.h"
 #include "limpethatch/process/log.h"
 #include "programs/control/fleet_service.h"
 
@@ -181,7 +182,8 @@
   }
   bool changed = false;
   for (const wire::TargetRecord& target : digest.targets()) {
-    changed |= MergeTarget(target, now - milliseconds(target.age_ms()));
+    changed |=
+        MergeTarget(target, now - BoundedTime<milliseconds>(target.age_ms()));
   }
   if (changed) {
     ScheduleNewsPush();
--- a/src/programs/control/fleet_rate_limits.cc
+++ b/src/programs/control/fleet_rate_limits.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <utility>
 
+#include "limpethatch/process/bounded_number.h"
 #include "limpethatch/process/log.h"
 #include "programs/control/fleet_service.h"
 
@@ -14,12 +15,12 @@
 
 namespace {
 
-// Bounds the times that one query may state, so that sums stay far from
-// overflow.
-constexpr uint64_t kMaxQueryMs = 60UL * 60 * 1000;
+// Bounds the times that one query may state, so that sums over many queries
+// stay far from overflow.
+constexpr Duration kMaxQueryTime = std::chrono::hours(1);
 
-Duration ToTime(uint64_t ms) {
-  return milliseconds(std::min(ms, kMaxQueryMs));
+Duration QueryTime(uint64_t ms) {
+  return std::min(BoundedTime<milliseconds>(ms), kMaxQueryTime);
 }
 
 }  // namespace
@@ -67,7 +68,7 @@
                      rate.requests_per_second());
   }
   const TargetRateLimits::Permit permit = scheduler_.rate_limits().Acquire(
-      rate.target(), milliseconds(request.target_permit().max_wait_ms()), now);
+      rate.target(), QueryTime(request.target_permit().max_wait_ms()), now);
   reply.mutable_target_permit()->set_granted(permit.granted);
   reply.mutable_target_permit()->set_wait_ms(static_cast<uint64_t>(
       std::chrono::ceil<milliseconds>(permit.wait).count()));
@@ -85,9 +86,9 @@
   const wire::HedgePermitQuery& query = request.hedge_permit();
   reply.mutable_hedge_permit()->set_granted(
       hedge_budget_.Acquire(query.route(),
-                            {.earned = ToTime(query.earned_ms()),
-                             .overrun = ToTime(query.overrun_ms()),
-                             .expected = ToTime(query.expected_ms()),
+                            {.earned = QueryTime(query.earned_ms()),
+                             .overrun = QueryTime(query.overrun_ms()),
+                             .expected = QueryTime(query.expected_ms()),
                              .extra_work = query.extra_work()},
                             now));
   SendReply(request, std::move(reply));
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -6,6 +6,7 @@
 #include <random>
 #include <utility>
 
+#include "limpethatch/process/bounded_number.h"
 #include "limpethatch/process/log.h"
 #include "limpethatch/version/job_route.h"
 #include "platform/control_api.h"
@@ -372,7 +373,7 @@
                            request.job().wait_ms() > 0;
   if (should_wait) {
     pending_job_queries_.push_back(
-        {request, now + milliseconds(request.job().wait_ms())});
+        {request, now + BoundedTime<milliseconds>(request.job().wait_ms())});
     return;
   }
   *reply.mutable_job() = std::move(page);
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -70,6 +70,8 @@
   uint64_t configuration_version() const {
     return ledger().configuration().version();
   }
+  // Batch jobs as applied here.
+  const JobLedger& jobs() const { return ledger().jobs(); }
   // Adds the control instances that the settings name.
   void AddSeeds(const std::vector<Endpoint>& seeds);
 
--- a/src/programs/control/pool_weight_manager.cc
+++ b/src/programs/control/pool_weight_manager.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "limpethatch/process/bounded_number.h"
 #include "limpethatch/process/log.h"
 
 namespace limpethatch {
@@ -62,7 +63,8 @@
                                report.version(), report.live_load()},
                   now);
   if (report.proven()) {
-    const auto ago = std::chrono::milliseconds(report.proven_ms_ago());
+    const Duration ago =
+        BoundedTime<std::chrono::milliseconds>(report.proven_ms_ago());
     planner_.ObserveVersion(report.engine(), report.proven_version(), now - ago,
                             now);
   }
--- a/src/programs/entry/target_handler.cc
+++ b/src/programs/entry/target_handler.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "limpethatch/process/bounded_number.h"
 #include "limpethatch/process/endpoint.h"
 #include "limpethatch/process/json_members.h"
 
@@ -18,8 +19,8 @@
 MemberLoad ReadLoad(const boost::json::object& body) {
   MemberLoad load;
   if (const boost::json::object* object = ObjectMember(body, "load")) {
-    load.running = static_cast<uint32_t>(UnsignedMember(*object, "running"));
-    load.queued = static_cast<uint32_t>(UnsignedMember(*object, "waiting"));
+    load.running = BoundedCast<uint32_t>(UnsignedMember(*object, "running"));
+    load.queued = BoundedCast<uint32_t>(UnsignedMember(*object, "waiting"));
   }
   return load;
 }
--- a/src/programs/entry/trainer_handler.cc
+++ b/src/programs/entry/trainer_handler.cc
@@ -5,6 +5,7 @@
 #include <boost/json/serialize.hpp>
 #include <cmath>
 
+#include "limpethatch/process/bounded_number.h"
 #include "limpethatch/process/json_members.h"
 #include "limpethatch/request/digest.h"
 #include "programs/entry/json_response.h"
@@ -121,7 +122,7 @@
 }
 
 uint64_t QueryNumber(const HttpRequest& request, std::string_view name) {
-  return std::strtoull(QueryValue(request.query, name).c_str(), nullptr, 10);
+  return ParseBounded<uint64_t>(QueryValue(request.query, name)).value_or(0);
 }
 
 // Polls until there are samples, the step is complete, `deadline` passes or a
@@ -188,11 +189,12 @@
   fetch->set_after(QueryNumber(request, "after"));
   fetch->set_at_version(QueryNumber(request, "at_version"));
   fetch->set_session(QueryNumber(request, "session"));
-  const auto max = static_cast<uint32_t>(QueryNumber(request, "max"));
+  const auto max = BoundedCast<uint32_t>(QueryNumber(request, "max"));
   fetch->set_max_samples(max == 0 ? kMaxSamplesPerFetch
                                   : std::min(max, kMaxSamplesPerFetch));
   const Duration wait = std::min<Duration>(
-      kMaxWait, std::chrono::milliseconds(QueryNumber(request, "wait_ms")));
+      kMaxWait,
+      BoundedTime<std::chrono::milliseconds>(QueryNumber(request, "wait_ms")));
   const ControlOutcome outcome =
       FetchWhenAvailable(context, exchange, command, Clock::now() + wait);
   if (outcome.certainty != ControlCertainty::kDone) {
--- a/src/programs/gateway/fleet_subscriber.cc
+++ b/src/programs/gateway/fleet_subscriber.cc
@@ -7,31 +7,35 @@
 
 #include "envelope.pb.h"
 #include "limpethatch/process/boot_time.h"
+#include "limpethatch/process/bounded_number.h"
 #include "limpethatch/process/compression.h"
 #include "limpethatch/process/log.h"
 
 namespace limpethatch {
 namespace {
 
+using std::chrono::milliseconds;
+
 // Control instances push changes; the periodic watch request detects that the
 // current one is unreachable. A change must be in force within 2 s, so both the
 // period and the reply timeout are a fraction of that.
-constexpr Duration kWatchPeriod = std::chrono::milliseconds(700);
-constexpr Duration kReplyTimeout = std::chrono::milliseconds(300);
+constexpr Duration kWatchPeriod = milliseconds(700);
+constexpr Duration kReplyTimeout = milliseconds(300);
 // While a configuration is on its way, the reply comes behind it.
 constexpr Duration kTransferReplyTimeout = std::chrono::seconds(1);
-constexpr Duration kCheckPeriod = std::chrono::milliseconds(100);
+constexpr Duration kCheckPeriod = milliseconds(100);
 // Targets are current for a little longer than one watch period and its reply.
-constexpr Duration kMaxTargetsAge = std::chrono::milliseconds(1200);
+constexpr Duration kMaxTargetsAge = milliseconds(1200);
 // Settings name at most three seeds. The part of a gateway's hash that chose
 // its seed does not choose the next instance.
 constexpr size_t kMaxSeeds = 3;
 
-std::optional<std::chrono::milliseconds> StateAge(const wire::FleetNews& news) {
+std::optional<milliseconds> StateAge(const wire::FleetNews& news) {
   if (!news.has_state_age_ms()) {
     return std::nullopt;
   }
-  return std::chrono::milliseconds(news.state_age_ms());
+  return std::chrono::floor<milliseconds>(
+      BoundedTime<milliseconds>(news.state_age_ms()));
 }
 
 // The configuration in `news` if it is newer than `version`.
@@ -214,7 +218,7 @@
   callbacks_.on_suspects(news.suspects());
   if (news.usage_window_ms() > 0) {
     callbacks_.on_usage_window(
-        std::chrono::milliseconds(news.usage_window_ms()));
+        BoundedTime<milliseconds>(news.usage_window_ms()));
   }
   if (news.has_relays()) {
     callbacks_.on_relays(news.relays());
--- a/src/programs/gateway/gateway.cc
+++ b/src/programs/gateway/gateway.cc
@@ -6,6 +6,7 @@
 
 #include "envelope.pb.h"
 #include "limpethatch/connection/relay_result.h"
+#include "limpethatch/process/bounded_number.h"
 #include "limpethatch/process/log.h"
 #include "limpethatch/process/metrics_text.h"
 #include "limpethatch/version/job_page.h"
@@ -251,16 +252,18 @@
   const wire::CallerLimits& configured = table->configuration().limits();
   HttpServerLimits limits = MakeServerLimits(settings_, kCallerDivisor);
   if (configured.max_header_bytes() > 0) {
-    limits.max_header_bytes = configured.max_header_bytes();
+    limits.max_header_bytes = BoundedSize(configured.max_header_bytes());
   }
   if (configured.max_body_bytes() > 0) {
-    limits.max_body_bytes = configured.max_body_bytes();
+    limits.max_body_bytes = BoundedSize(configured.max_body_bytes());
   }
   if (configured.header_timeout_ms() > 0) {
-    limits.header_timeout = milliseconds(configured.header_timeout_ms());
+    limits.header_timeout =
+        BoundedTime<milliseconds>(configured.header_timeout_ms());
   }
   if (configured.idle_timeout_ms() > 0) {
-    limits.idle_timeout = milliseconds(configured.idle_timeout_ms());
+    limits.idle_timeout =
+        BoundedTime<milliseconds>(configured.idle_timeout_ms());
   }
   caller_server_.SetLimits(limits);
   // The header fields that a gateway adds or writes differently.
--- a/src/programs/gateway/live_call.cc
+++ b/src/programs/gateway/live_call.cc
@@ -8,6 +8,7 @@
 
 #include "limpethatch/connection/relay_result.h"
 #include "limpethatch/connection/request_content.h"
+#include "limpethatch/process/bounded_number.h"
 #include "limpethatch/process/log.h"
 #include "limpethatch/request/route_table.h"
 #include "platform/call_codec.h"
@@ -61,8 +62,8 @@
                 origin == LiveCallOrigin::kCaller ? organisation : ""))) {
     state_->attempt_id = caller_headers_.attempt_id;
     const Duration timeout =
-        std::min<Duration>(caller_headers_.timeout.value_or(kDefaultTimeout),
-                           std::chrono::milliseconds(route.timeout_ms()));
+        std::min(caller_headers_.timeout.value_or(kDefaultTimeout),
+                 BoundedTime<std::chrono::milliseconds>(route.timeout_ms()));
     deadline_ = started_at_ + timeout - kResponseMargin;
     service_ = RouteTable::ServiceFor(route, context.random());
     must_resume_ =
--- a/src/programs/gateway/live_call_plan.cc
+++ b/src/programs/gateway/live_call_plan.cc
@@ -4,9 +4,13 @@
 #include <chrono>
 #include <optional>
 
+#include "limpethatch/process/bounded_number.h"
+
 namespace limpethatch {
 namespace {
 
+using std::chrono::milliseconds;
+
 // Without permits, a second target is tried after the route's target latency
 // divided by this.
 constexpr int kHedgeDivisor = 2;
@@ -26,7 +30,7 @@
   options.deadline = deadline;
   if (route.target_latency_ms() > 0) {
     options.hedge_after =
-        std::chrono::milliseconds(route.target_latency_ms()) / kHedgeDivisor;
+        BoundedTime<milliseconds>(route.target_latency_ms()) / kHedgeDivisor;
   }
   plan.usual_hedge_after = options.hedge_after;
   if (!hedges_need_permit) {
@@ -60,7 +64,7 @@
                               const HedgePermits& hedges,
                               TimePoint now) {
   return MakePlan(route, LiveCallOrigin::kCaller, hedges.enabled(),
-                  now + std::chrono::milliseconds(route.timeout_ms()),
+                  now + BoundedTime<milliseconds>(route.timeout_ms()),
                   [&] { return hedges.PeekFigures(route.name(), now); });
 }
 
--- a/src/programs/gateway/target_permits.cc
+++ b/src/programs/gateway/target_permits.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "limpethatch/process/bounded_number.h"
 #include "limpethatch/process/log.h"
 
 namespace limpethatch {
@@ -102,8 +103,9 @@
     return std::nullopt;
   }
   const wire::TargetPermit& permit = answer.reply.target_permit();
-  return TargetRateLimits::Permit{.granted = permit.granted(),
-                                  .wait = milliseconds(permit.wait_ms())};
+  return TargetRateLimits::Permit{
+      .granted = permit.granted(),
+      .wait = BoundedTime<milliseconds>(permit.wait_ms())};
 }
 
 }  // namespace limpethatch
--- a/src/programs/standin/engine.cc
+++ b/src/programs/standin/engine.cc
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <utility>
 
+#include "limpethatch/process/bounded_number.h"
 #include "limpethatch/process/json_members.h"
 #include "limpethatch/process/log.h"
 
@@ -166,9 +167,9 @@
                          "not_run");
   }
   if (verdict == OrderRecord::Verdict::kAccepted) {
-    loader_.Load(
-        target_.client(), version,
-        std::chrono::milliseconds(UnsignedMember(*body, "deadline_ms")));
+    loader_.Load(target_.client(), version,
+                 BoundedTime<std::chrono::milliseconds>(
+                     UnsignedMember(*body, "deadline_ms")));
   }
   return JsonResponse(202,
                       {{"accepted", true},
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -1,5 +1,8 @@
+#include <chrono>
+#include <limits>
 #include <string>
 
+#include "limpethatch/process/bounded_number.h"
 #include "platform/call_codec.h"
 #include "platform/configuration_codec.h"
 #include "platform/duty_codec.h"
@@ -67,6 +70,63 @@
   }
 }
 
+// Guards against numbers that overflow: a long queue time gave all samples up
+// at once, and 2^32 attempts became none. No such number makes a configuration
+// invalid.
+Test(configuration_codec, large_numbers_become_their_bounds) {
+  constexpr uint64_t kMaxMs = kMaxBoundedTime / std::chrono::milliseconds(1);
+  constexpr uint32_t kMaxCount = std::numeric_limits<uint32_t>::max();
+  for (const std::string large :
+       {"9223372036854775807", "9223372036854775808", "18446744073709551615",
+        "18446744073709551616", "1e19", "1.5e300"}) {
+    const std::string document =
+        R"({"version":1,"routes":[{"host":"a.example","path_prefix":"/j/",
+        "kind":"rollout","service":"s","timeout_ms":)" +
+        large + R"(,"target_latency_ms":)" + large + R"(,"priority":)" + large +
+        R"(,"max_attempts":)" + large + R"(,"max_queue_s":)" + large +
+        R"(,"result_deadline_ms":)" + large +
+        R"(}],"services":[{"name":"s","connection_limit":)" + large +
+        R"(,"engine":{"kv_cache_tokens":)" + large + R"(,"stride":)" + large +
+        R"(}}],"limits":{"max_header_bytes":)" + large +
+        R"(,"max_body_bytes":)" + large + R"(,"header_timeout_ms":)" + large +
+        R"(,"idle_timeout_ms":)" + large + "}}";
+    wire::FleetConfiguration configuration;
+    std::string problem;
+    cr_assert(DecodeConfiguration(document, &configuration, &problem), "%s: %s",
+              large.c_str(), problem.c_str());
+    const wire::Route& route = configuration.routes(0);
+    cr_assert_eq(route.timeout_ms(), kMaxMs);
+    cr_assert_eq(route.target_latency_ms(), kMaxMs);
+    cr_assert_eq(route.max_queue_ms(), kMaxMs);
+    cr_assert_eq(route.result_deadline_ms(), kMaxMs);
+    cr_assert_eq(route.priority(), kMaxCount);
+    cr_assert_eq(route.max_attempts(), kMaxCount);
+    const wire::ServiceDeclaration& service = configuration.services(0);
+    cr_assert_eq(service.connection_limit(), kMaxCount);
+    cr_assert_eq(service.tokens_per_event(), kMaxCount);
+    cr_assert_eq(service.cache_tokens(), kMaxBoundedSize);
+    const wire::CallerLimits& limits = configuration.limits();
+    cr_assert_eq(limits.max_header_bytes(), kMaxBoundedSize);
+    cr_assert_eq(limits.max_body_bytes(), kMaxBoundedSize);
+    cr_assert_eq(limits.header_timeout_ms(), kMaxMs);
+    cr_assert_eq(limits.idle_timeout_ms(), kMaxMs);
+  }
+}
+
+// A time-out below a millisecond is not 0, which would be invalid.
+Test(configuration_codec, times_are_rounded_up_to_milliseconds) {
+  const std::string document =
+      R"({"version":1,"routes":[{"host":"a.example","path_prefix":"/j/",
+      "kind":"safe","service":"s","timeout_ms":0.25,"max_queue_s":0.0404,
+      "target_latency_ms":150.0}],"services":[{"name":"s"}]})";
+  wire::FleetConfiguration configuration;
+  std::string problem;
+  cr_assert(DecodeConfiguration(document, &configuration, &problem));
+  cr_assert_eq(configuration.routes(0).timeout_ms(), 1);
+  cr_assert_eq(configuration.routes(0).max_queue_ms(), 41);
+  cr_assert_eq(configuration.routes(0).target_latency_ms(), 150);
+}
+
 Test(configuration_codec, an_unknown_route_kind_is_not_idempotent) {
   wire::FleetConfiguration configuration;
   std::string problem;
@@ -170,6 +230,31 @@
   cr_assert(submit.group_count() == 12 && submit.min_version() == 6);
 }
 
+// Guards against sums of lengths that overflow, so that a long sample counted
+// as a short one, and against 2^32 groups that counted as none stated.
+Test(job_codec, large_lengths_and_counts_become_their_bounds) {
+  for (const std::string large : {"9223372036854775808", "18446744073709551615",
+                                  "18446744073709551616"}) {
+    wire::JobSubmit submit;
+    std::string problem;
+    cr_assert(
+        DecodeSubmission(
+            R"({"group_count":)" + large + R"(,"items":[{"id":"a","path":"/a",
+        "tokens":)" +
+                large + R"(,"headers":{"Token-Counts":")" + large + "," +
+                large +
+                R"("}},{"id":"b","path":"/b","headers":{"Length-Hint":")" +
+                large + R"("}}]})",
+            &submit, &problem),
+        "%s", problem.c_str());
+    cr_assert_eq(submit.group_count(), std::numeric_limits<uint32_t>::max());
+    cr_assert_eq(submit.samples(0).tokens(), kMaxBoundedSize);
+    cr_assert_eq(submit.samples(0).prompt_tokens(), kMaxBoundedSize);
+    cr_assert_eq(submit.samples(0).expected_tokens(), kMaxBoundedSize);
+    cr_assert_eq(submit.samples(1).expected_tokens(), kMaxBoundedSize);
+  }
+}
+
 Test(job_codec, invalid_submissions_are_refused) {
   std::string problem;
   for (const char* invalid :
@@ -297,6 +382,30 @@
   cr_assert(kept == 2);
 }
 
+// Guards against an overflow: a caller who waits for long was refused at once.
+Test(call_codec, a_large_deadline_is_a_long_one) {
+  for (const char* large :
+       {"9223372036855", "9999999999999", "9223372036854775808",
+        "18446744073709551615", "18446744073709551616"}) {
+    HttpRequest request;
+    request.headers.Set("Deadline-Ms", large);
+    cr_assert(DecodeCallerHeaders(request).timeout == kMaxBoundedTime, "%s",
+              large);
+  }
+  HttpRequest resumed;
+  resumed.headers.Set("Last-Event-Id", "18446744073709551616");
+  cr_assert(DecodeCallerHeaders(resumed).resumes_stream);
+}
+
+// Guards against 2^32 running requests that counted as none.
+Test(call_codec, large_load_figures_stay_large) {
+  HttpHeaders headers;
+  headers.Set("Server-Load", "4294967296,18446744073709551616,8");
+  const auto decoded = DecodeTargetAnswerHeaders(200, headers, "");
+  cr_assert(decoded.running == std::numeric_limits<uint32_t>::max());
+  cr_assert(decoded.waiting == std::numeric_limits<uint32_t>::max());
+}
+
 Test(call_codec, an_answer_of_another_request_is_recognised) {
   HttpHeaders headers;
   headers.Set("Request-Attempt-Id", "other");
--- a/tests/platform/gateway_api_test.cc
+++ b/tests/platform/gateway_api_test.cc
@@ -1,6 +1,7 @@
 #include "platform/gateway_api.h"
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <map>
 #include <optional>
 #include <string>
@@ -53,8 +54,10 @@
   std::optional<wire::JobPage> ReadJob(Yield,
                                        const std::string&,
                                        const std::string&,
-                                       uint64_t,
-                                       Duration) override {
+                                       uint64_t after,
+                                       Duration wait) override {
+    last_read_after = after;
+    last_read_wait = wait;
     return std::nullopt;
   }
   std::optional<wire::JobBody> ReadBody(Yield,
@@ -66,6 +69,8 @@
 
   std::vector<std::string> submitted;
   std::map<std::string, int> jobs_by_service;
+  uint64_t last_read_after = 0;
+  Duration last_read_wait{};
 
  private:
   RouteTablePtr routes_;
@@ -120,6 +125,28 @@
   cr_assert_leq(split.jobs_by_service["tutor"], kJobs * 3 / 8);
 }
 
+// Guards against an overflow: a reader who may wait for long had to wait until
+// the control instance gave up, or did not wait at all.
+Test(gateway_api, a_reader_waits_for_a_second_at_most) {
+  for (const char* wait_ms : {"1000", "9223372036855", "18446744073709551615",
+                              "18446744073709551616"}) {
+    FakeGateway gateway;
+    boost::asio::io_context io;
+    Spawn(io, [&](Yield yield) {
+      HttpRequest request;
+      request.method = "GET";
+      request.path = "/v1/lots/9c41d07be2a35f68";
+      request.query = "after=18446744073709551616";
+      request.headers.Set("Wait-Ms", wait_ms);
+      FakeExchange exchange(yield, std::move(request));
+      platform::ServeGatewayCall(gateway, exchange);
+    });
+    io.run();
+    cr_assert(gateway.last_read_wait == std::chrono::seconds(1), "%s", wait_ms);
+    cr_assert_eq(gateway.last_read_after, UINT64_MAX);
+  }
+}
+
 // Attempts of one submission may reach several gateways.
 Test(gateway_api, a_job_that_is_submitted_again_goes_to_the_same_service) {
   FakeGateway first({{"coach", 1}, {"tutor", 1}});
--- a/tests/process/json_reader_test.cc
+++ b/tests/process/json_reader_test.cc
@@ -72,6 +72,8 @@
   cr_expect_not(ParseDuration("15", &duration));
   cr_expect_not(ParseDuration("-1s", &duration));
   cr_expect_not(ParseDuration("1e300h", &duration));
+  // Multiples of a longer time would overflow.
+  cr_expect_not(ParseDuration("2000000h", &duration));
   cr_expect(ParseByteSize("64KiB", &bytes));
   cr_expect_eq(bytes, 65536U);
   cr_expect_not(ParseByteSize("64K", &bytes));
