Serve requests under very large limits

Cause: the limit of a head was cast to 32 bits, so that one of 2^32 bytes became 0 and each request was refused. A chunked body above 256 KiB reserved the whole of max_body_bytes, which fails for one that no memory holds, so that the request was not answered.

Change: the cast is bounded, and at most 64 MiB are reserved at once.

Measured: requests_are_served_under_very_large_limits fails on the former sources (431, and with the first part alone no answer within 20 s) and passes now.

--- a/src/limpethatch/connection/internal/http_server_connection.cc
+++ b/src/limpethatch/connection/internal/http_server_connection.cc
@@ -10,6 +10,7 @@
 #include "limpethatch/connection/http_error.h"
 #include "limpethatch/connection/internal/http_codec.h"
 #include "limpethatch/connection/internal/server_exchange.h"
+#include "limpethatch/process/bounded_number.h"
 #include "limpethatch/process/log.h"
 
 namespace limpethatch {
@@ -23,6 +24,8 @@
 // Space for the whole body is allocated once a body of unknown size exceeds
 // this, as growing a text copies it. Memory counts once it is written to.
 constexpr size_t kBodyReserveThreshold = 256UL * 1024;
+// A limit that is larger than this need not be a size that bodies reach.
+constexpr size_t kMaxBodyReserve = 64UL * 1024 * 1024;
 // Memory of a connection with its coroutine and read buffer.
 constexpr size_t kConnectionBytes = 16UL * 1024;
 // Memory of a header line besides its bytes: in the request, in the copy that
@@ -100,7 +103,7 @@
 void HttpServerConnection::BeginRequest() {
   const HttpServerLimits limits = server_state_->Limits();
   parser_.emplace();
-  parser_->header_limit(static_cast<uint32_t>(limits.max_header_bytes));
+  parser_->header_limit(BoundedCast<uint32_t>(limits.max_header_bytes));
   parser_->body_limit(limits.max_body_bytes);
   head_ = {};
   head_bytes_ = 0;
@@ -186,7 +189,7 @@
   // Lines between chunks and trailers. A body in chunks of a few bytes is
   // accepted, as its lines are not kept.
   const size_t framing = body_wire_bytes_ + buffer_.size() - body.size();
-  if (framing > limits.max_header_bytes + body.size() ||
+  if (framing > BoundedSize(limits.max_header_bytes) + body.size() ||
       buffer_.size() > limits.max_header_bytes) {
     if (share_) {
       share_->memory().CountRefusal("framing", Clock::now());
@@ -195,7 +198,7 @@
     return false;
   }
   if (parser_->chunked() && body.size() > kBodyReserveThreshold) {
-    body.reserve(limits.max_body_bytes);
+    body.reserve(std::min(limits.max_body_bytes, kMaxBodyReserve));
   }
   return true;
 }
--- a/tests/connection/http_test.cc
+++ b/tests/connection/http_test.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <limits>
 #include <string>
 #include <thread>
 #include <utility>
@@ -12,6 +13,7 @@
 #include "limpethatch/connection/http_client.h"
 #include "limpethatch/connection/http_error.h"
 #include "limpethatch/connection/http_server.h"
+#include "limpethatch/process/bounded_number.h"
 
 #include <criterion/criterion.h>
 
@@ -316,6 +318,35 @@
   });
 }
 
+// Guards against limits that overflow: a head of any size was too large for a
+// limit of 2^32 bytes, and a chunked body was never answered.
+Test(http, requests_are_served_under_very_large_limits) {
+  for (const uint64_t large : {uint64_t{1} << 32U, uint64_t{1} << 53U,
+                               std::numeric_limits<uint64_t>::max()}) {
+    Fixture fixture(
+        [](HttpExchange& exchange) {
+          exchange.Respond(
+              Text(std::to_string(exchange.request().body.size())));
+        },
+        {.max_header_bytes = large,
+         .max_body_bytes = large,
+         .header_timeout = kMaxBoundedTime,
+         .idle_timeout = kMaxBoundedTime});
+    fixture.Run([&](Yield yield) {
+      std::string raw =
+          "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n";
+      constexpr int kChunks = 20;
+      for (int i = 0; i < kChunks; ++i) {
+        raw += "8000\r\n" + std::string(0x8000, 'x') + "\r\n";
+      }
+      const std::string answer = RawExchange(fixture, yield, raw + "0\r\n\r\n");
+      cr_assert(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
+      cr_assert(answer.ends_with(std::to_string(kChunks * 0x8000)));
+    });
+  }
+}
+
 Test(http, connections_beyond_the_limit_are_refused) {
   HttpServerLimits limits;
   limits.max_connections = 1;
