Add stated lengths, loads and weights without overflow

Cause: the sum of a sample's prompt and output tokens overflowed, so that samples that fill an engine's memory counted as short and were started on it together; the expected number of events was cut to 32 bits. The sum of running and waiting requests of a target overflowed. The sum of a split's weights could be infinite, and then all requests went to its last part.

Change: lengths are bounded before they are added, also those of jobs on record; loads are added as doubles; weights are compared relative to the largest one.

Measured: samples_of_any_stated_length_share_no_memory and a_split_is_followed_whatever_the_size_of_its_weights fail on the former sources and pass now. The sum of loads has no test of its own.

--- a/src/limpethatch/request/route_table.cc
+++ b/src/limpethatch/request/route_table.cc
@@ -48,15 +48,22 @@
 
 const std::string& RouteTable::ServiceFor(const wire::Route& route,
                                           uint64_t random) {
+  // Weights relative to the largest one, as the sum of weights may not be
+  // finite.
+  double largest = 0;
+  for (const wire::WeightedService& part : route.services()) {
+    largest = std::max(largest, part.weight());
+  }
+  const double unit = largest > 0 ? largest : 1;
   double total = 0;
   for (const wire::WeightedService& part : route.services()) {
-    total += part.weight();
+    total += part.weight() / unit;
   }
   // The upper 53 bits give a uniform double in [0, 1).
   constexpr double kScale = 1.0 / static_cast<double>(uint64_t{1} << 53);
   double left = static_cast<double>(random >> 11) * kScale * total;
   for (const wire::WeightedService& part : route.services()) {
-    left -= part.weight();
+    left -= part.weight() / unit;
     if (left < 0) {
       return part.service();
     }
--- a/src/limpethatch/request/router.cc
+++ b/src/limpethatch/request/router.cc
@@ -319,7 +319,7 @@
   double least = std::numeric_limits<double>::infinity();
   for (const RoutedTargetPtr& routed : service->all) {
     const TargetLoad& load = routed->target.load;
-    const double work = static_cast<double>(load.running + load.waiting) /
+    const double work = (static_cast<double>(load.running) + load.waiting) /
                         std::max<uint32_t>(1, routed->target.slots);
     if (work < least && IsAllowed(*routed, request)) {
       least = work;
--- a/src/limpethatch/request/target.cc
+++ b/src/limpethatch/request/target.cc
@@ -26,7 +26,7 @@
       known ? known->estimate : std::make_shared<TargetEstimate>();
   routed->id_hash = ContentDigest(target.id);
   const TargetLoad& load = target.load;
-  const double reported = load.running + load.waiting;
+  const double reported = static_cast<double>(load.running) + load.waiting;
   const double own = routed->stats->OutstandingAt(load.measured);
   routed->reported_other_work = std::max(0.0, reported - own);
   routed->target = std::move(target);
--- a/src/limpethatch/version/sample_scheduler.cc
+++ b/src/limpethatch/version/sample_scheduler.cc
@@ -4,6 +4,8 @@
 #include <limits>
 #include <set>
 
+#include "limpethatch/process/bounded_number.h"
+
 namespace limpethatch {
 namespace {
 
@@ -20,6 +22,12 @@
   return record.state == wire::SAMPLE_OPEN && !record.output.whole;
 }
 
+// Of the prompt and the output. Jobs on record may state any number.
+uint64_t ExpectedTokens(const wire::JobSample& sample) {
+  return BoundedSize(sample.prompt_tokens()) +
+         BoundedSize(sample.expected_tokens());
+}
+
 uint32_t RemainingEvents(uint32_t expected, uint32_t received) {
   const uint32_t remaining = expected > received ? expected - received : 0;
   return std::max(remaining, received / kOverrunDivisor + 1);
@@ -34,7 +42,8 @@
       found->second == 0) {
     return kDefaultEvents;
   }
-  return static_cast<uint32_t>(sample.expected_tokens() / found->second) + 1;
+  return BoundedCast<uint32_t>(
+      BoundedSize(sample.expected_tokens()) / found->second + 1);
 }
 
 SamplePlan SampleScheduler::Plan(const JobLedger& jobs,
@@ -398,7 +407,7 @@
     return nullptr;
   }
   const auto& sample = submit.samples(static_cast<int>(candidate.key.index));
-  const uint64_t tokens = sample.prompt_tokens() + sample.expected_tokens();
+  const uint64_t tokens = ExpectedTokens(sample);
   const Duration median_gap = MedianEventGap(submit.service());
   const auto quarantine = quarantines_.find(submit.service());
   EngineState* best = nullptr;
@@ -456,7 +465,7 @@
   run.engine = engine.id;
   run.model = submit.model();
   run.group = sample.group();
-  run.tokens = sample.prompt_tokens() + sample.expected_tokens();
+  run.tokens = ExpectedTokens(sample);
   const SampleText& output = candidate.job->samples[candidate.key.index].output;
   run.events = CanResume(candidate, engine) ? output.events : 0;
   run.expected_events = ExpectedEvents(submit, sample);
--- a/tests/request/route_table_test.cc
+++ b/tests/request/route_table_test.cc
@@ -55,4 +55,26 @@
   cr_assert(counts["few"] > 850 && counts["few"] < 1150);
 }
 
+// Guards against a sum of weights that overflows: all requests went to the last
+// part.
+Test(route_table, a_split_is_followed_whatever_the_size_of_its_weights) {
+  for (const double unit : {1e-300, 1.0, 1e15, 1e308}) {
+    wire::FleetConfiguration configuration;
+    wire::Route* route =
+        AddRoute(&configuration, "split", "shop.example", "/a/");
+    AddPart(route, "none", 0);
+    AddPart(route, "half", unit);
+    AddPart(route, "other-half", unit);
+    std::map<std::string, int> chosen;
+    std::mt19937_64 random(1);
+    constexpr int kRequests = 1000;
+    for (int i = 0; i < kRequests; ++i) {
+      ++chosen[RouteTable::ServiceFor(*route, random())];
+    }
+    cr_assert_eq(chosen["none"], 0);
+    cr_assert_geq(chosen["half"], kRequests * 2 / 5);
+    cr_assert_geq(chosen["other-half"], kRequests * 2 / 5);
+  }
+}
+
 }  // namespace limpethatch
--- a/tests/version/sample_scheduler_test.cc
+++ b/tests/version/sample_scheduler_test.cc
@@ -1,6 +1,7 @@
 #include "limpethatch/version/sample_scheduler.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -859,4 +860,24 @@
   }
 }
 
+// Guards against lengths whose sum overflows: samples that fill an engine's
+// memory many times over were all sent to it at once.
+Test(sample_scheduler, samples_of_any_stated_length_share_no_memory) {
+  SchedulerFixture fixture(1, 4);
+  fixture.scheduler.engine_table().SetCacheTokens("coach", 1000);
+  wire::JobSubmit submit;
+  submit.set_job("job");
+  submit.set_service("coach");
+  submit.set_model("model");
+  for (int i = 0; i < 4; ++i) {
+    wire::JobSample& sample = *submit.add_samples();
+    sample.set_id("s" + std::to_string(i));
+    sample.set_prompt_tokens(std::numeric_limits<uint64_t>::max());
+    sample.set_expected_tokens(kTokensPerEvent);
+  }
+  fixture.jobs.Apply(submit);
+  const SamplePlan plan = fixture.scheduler.Plan(fixture.jobs, fixture.now);
+  cr_assert_eq(plan.starts.size(), 1);
+}
+
 }  // namespace limpethatch
