Bound rates of targets that are not numbers

Cause: a rate that a peer states may be NaN. std::max then returned it, and the time between two requests was cast from NaN, which is undefined.

Change: the lowest rate takes its place, and the time is bounded.

--- a/src/limpethatch/process/target_rate_limits.cc
+++ b/src/limpethatch/process/target_rate_limits.cc
@@ -3,13 +3,16 @@
 #include <algorithm>
 #include <chrono>
 
+#include "limpethatch/process/bounded_number.h"
+
 namespace limpethatch {
 namespace {
 
 Duration Spacing(const TargetRateLimit& limit) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-      1.0 / std::max(limit.requests_per_second,
-                     TargetRateLimits::kMinRequestsPerSecond)));
+  // The minimum also takes the place of a rate that is not a number.
+  return BoundedTime<std::chrono::seconds>(
+      1.0 / std::max(TargetRateLimits::kMinRequestsPerSecond,
+                     limit.requests_per_second));
 }
 
 }  // namespace
--- a/tests/process/target_rate_limits_test.cc
+++ b/tests/process/target_rate_limits_test.cc
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <deque>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -93,4 +94,23 @@
   cr_assert(limits.Acquire("t", {}, kBegin + seconds(10)).granted);
 }
 
+// Guards against a peer's rate that is not a number, which has no time between
+// two requests.
+Test(target_rate_limits, odd_rates_count_as_the_lowest_or_as_no_limit) {
+  for (const double rate :
+       {std::numeric_limits<double>::quiet_NaN(), -1.0, 0.0, 1e-300}) {
+    TargetRateLimits limits;
+    limits.Observe("t", 1, rate);
+    limits.Acquire("t", {}, kBegin);
+    const Duration wait = limits.TimeToSend("t", kBegin);
+    cr_assert(wait > Duration::zero());
+    cr_assert(wait <= seconds(1) / TargetRateLimits::kMinRequestsPerSecond);
+  }
+  TargetRateLimits limits;
+  limits.Observe("t", 1, std::numeric_limits<double>::infinity());
+  for (int i = 0; i < 100; ++i) {
+    cr_assert(limits.Acquire("t", {}, kBegin).granted);
+  }
+}
+
 }  // namespace limpethatch
