Bound the send times that peers echo

Cause: the leader took the send time in an acknowledgement as it was. One in the future would have counted as an acknowledgement for ever, so that the lease never ended; one far in the past overflowed in a subtraction.

Measured: an_acknowledgement_from_the_future_counts_from_now fails on the former sources (the lease is held 10 s later) and passes now.

--- a/src/limpethatch/process/consensus_replication.cc
+++ b/src/limpethatch/process/consensus_replication.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "limpethatch/process/bounded_number.h"
 #include "limpethatch/process/consensus.h"
 
 namespace limpethatch {
@@ -15,6 +16,12 @@
   return time.time_since_epoch().count();
 }
 
+// A time that a peer echoes, which is in the past: a later one would extend a
+// lease without end.
+TimePoint FromWireTime(int64_t time, TimePoint now) {
+  return std::clamp(TimePoint(Duration(time)), now - kMaxBoundedTime, now);
+}
+
 }  // namespace
 
 void Consensus::Progress::RestartSnapshot() {
@@ -117,12 +124,13 @@
 void Consensus::RecordConfirmation(const wire::Append& append, TimePoint now) {
   const TimePoint echoed(Duration(append.echoed_reply_at()));
   if (pending_confirmation_ || !append.has_quorum_age_ms() ||
-      append.echoed_session() != hard_state_.session() || echoed > now) {
+      append.echoed_session() != hard_state_.session() || echoed > now ||
+      echoed < now - kMaxBoundedTime) {
     return;
   }
   // Rounded up, as the rates of two clocks may differ by a tenth.
   const Duration quorum_age =
-      std::chrono::milliseconds(append.quorum_age_ms()) * 10 / 9;
+      BoundedTime<std::chrono::milliseconds>(append.quorum_age_ms()) * 10 / 9;
   pending_confirmation_ = {append.commit(), echoed - quorum_age};
 }
 
@@ -265,7 +273,7 @@
   }
   const wire::AppendReply& reply = message.append_reply();
   peer->last_acked_sent_at =
-      std::max(peer->last_acked_sent_at, TimePoint(Duration(reply.sent_at())));
+      std::max(peer->last_acked_sent_at, FromWireTime(reply.sent_at(), now));
   if (peer->session != message.session() ||
       peer->replied_at < reply.replied_at()) {
     peer->session = message.session();
@@ -363,7 +371,7 @@
   }
   const wire::SnapshotReply& reply = message.snapshot_reply();
   peer->last_acked_sent_at =
-      std::max(peer->last_acked_sent_at, TimePoint(Duration(reply.sent_at())));
+      std::max(peer->last_acked_sent_at, FromWireTime(reply.sent_at(), now));
   if (reply.index() != snapshot_to_send_->index) {
     return;
   }
--- a/tests/process/consensus_rules_test.cc
+++ b/tests/process/consensus_rules_test.cc
@@ -1,5 +1,7 @@
 // Protocol rules of Consensus, tested on one replica by its messages.
 #include <chrono>
+#include <cstdint>
+#include <limits>
 #include <string>
 
 #include "limpethatch/process/consensus.h"
@@ -93,4 +95,22 @@
   cr_assert_not(replica.consensus.HoldsLease(now));
 }
 
+// Guards against a lease that a wrong number of a peer extends without end.
+Test(consensus_rules, an_acknowledgement_from_the_future_counts_from_now) {
+  ReplicaHarness replica;
+  const TimePoint now = replica.BecomeLeader();
+  wire::ConsensusMessage reply =
+      ReplicaHarness::MessageFrom("b", replica.consensus.term());
+  reply.mutable_append_reply()->set_matched(true);
+  reply.mutable_append_reply()->set_match(replica.consensus.log().last_index());
+  reply.mutable_append_reply()->set_sent_at(
+      std::numeric_limits<int64_t>::max());
+  replica.consensus.Receive(reply, now);
+  reply.mutable_append_reply()->set_sent_at(
+      std::numeric_limits<int64_t>::min());
+  replica.consensus.Receive(reply, now);
+  cr_assert(replica.consensus.HoldsLease(now));
+  cr_assert_not(replica.consensus.HoldsLease(now + seconds(10)));
+}
+
 }  // namespace limpethatch
