Log which replicas a change was sent to and how each answered

Nothing told why a call of an operator ended after 0.9 s: whether it waited for the leader's log, asked replicas that are gone, or was dropped as outdated. A change that took more than a redirection logs `change_retried` with each attempt and its answer; a leader logs the commands that it ignores as outdated; messages for which the queue of a peer has no room are logged at most once a second, not at debug level only.

--- a/src/limpethatch/connection/control_client.cc
+++ b/src/limpethatch/connection/control_client.cc
@@ -45,6 +45,23 @@
 
 using CallAnswer = ControlClient::Answer;
 
+std::string_view LogName(std::optional<ControlReplyOutcome> outcome) {
+  if (!outcome) {
+    return "no_answer";
+  }
+  switch (*outcome) {
+    case ControlReplyOutcome::kOk:
+      return "ok";
+    case ControlReplyOutcome::kNotLeader:
+      return "not_leader";
+    case ControlReplyOutcome::kUnavailable:
+      return "unavailable";
+    case ControlReplyOutcome::kUncertain:
+      break;
+  }
+  return "uncertain";
+}
+
 // A number with room for the requests of one process above it.
 uint64_t RandomIdBase() {
   constexpr int kRequestBits = 31;
@@ -54,6 +71,17 @@
 
 }  // namespace
 
+std::string Describe(const std::vector<ControlAttempt>& attempts) {
+  std::string text;
+  for (const auto& [replica, outcome] : attempts) {
+    text += text.empty() ? "" : ", ";
+    text += replica.ToString();
+    text += ' ';
+    text += LogName(outcome);
+  }
+  return text;
+}
+
 class ControlClient::Calls {
  public:
   Calls(Messenger& messenger, ControlClientOptions options)
@@ -87,14 +115,17 @@
     size_t replica = 0;
   };
 
-  void Send(const ControlAction& action,
-            const std::shared_ptr<Waiter>& waiter,
-            wire::ControlRequest* request);
+  // Returns the endpoint of the replica.
+  Endpoint Send(const ControlAction& action,
+                const std::shared_ptr<Waiter>& waiter,
+                wire::ControlRequest* request);
   void OnAttemptTimeout(size_t index);
-  // Passes the received replies to `retry`. Returns the first successful one,
-  // if any.
-  std::optional<wire::ControlReply> ProcessReplies(Waiter& waiter,
-                                                   ControlRetry* retry);
+  // Passes the received replies to `retry` and records their outcomes. Returns
+  // the first successful one, if any.
+  std::optional<wire::ControlReply> ProcessReplies(
+      Waiter& waiter,
+      ControlRetry* retry,
+      std::vector<ControlAttempt>* attempts);
   void RemoveAttempts(const Waiter& waiter);
   std::optional<size_t> IndexOf(const std::string& address) const;
 
@@ -137,7 +168,7 @@
        .round_pause = options_.round_pause});
   CallAnswer answer;
   for (;;) {
-    if (auto reply = ProcessReplies(*waiter, &retry)) {
+    if (auto reply = ProcessReplies(*waiter, &retry, &answer.attempts)) {
       answer.reply = std::move(*reply);
     }
     const ControlAction action = retry.Next(Clock::now());
@@ -149,7 +180,7 @@
       break;
     }
     if (action.kind == ControlAction::Kind::kSend) {
-      Send(action, waiter, &request);
+      answer.attempts.push_back({Send(action, waiter, &request), {}});
       continue;
     }
     boost::system::error_code ignored;
@@ -160,9 +191,9 @@
   return answer;
 }
 
-void ControlClient::Calls::Send(const ControlAction& action,
-                                const std::shared_ptr<Waiter>& waiter,
-                                wire::ControlRequest* request) {
+Endpoint ControlClient::Calls::Send(const ControlAction& action,
+                                    const std::shared_ptr<Waiter>& waiter,
+                                    wire::ControlRequest* request) {
   Endpoint endpoint;
   {
     std::scoped_lock lock(mutex_);
@@ -176,6 +207,7 @@
   wire::Envelope envelope;
   *envelope.mutable_request() = *request;
   messenger_.Send(endpoint, envelope.SerializeAsString());
+  return endpoint;
 }
 
 void ControlClient::Calls::OnAttemptTimeout(size_t index) {
@@ -202,11 +234,13 @@
 
 std::optional<wire::ControlReply> ControlClient::Calls::ProcessReplies(
     Waiter& waiter,
-    ControlRetry* retry) {
+    ControlRetry* retry,
+    std::vector<ControlAttempt>* attempts) {
   std::scoped_lock lock(mutex_);
   std::optional<wire::ControlReply> accepted;
   for (auto& [attempt, reply] : waiter.replies) {
     const ControlReplyOutcome reply_outcome = ToReplyOutcome(reply);
+    (*attempts)[attempt].outcome = reply_outcome;
     retry->OnReply(attempt, reply_outcome, IndexOf(reply.leader()));
     if (reply_outcome == ControlReplyOutcome::kOk && !accepted) {
       accepted = std::move(reply);
--- a/src/limpethatch/connection/control_client.h
+++ b/src/limpethatch/connection/control_client.h
@@ -60,6 +60,16 @@
   TimePoint received_at;
 };
 
+// One sending of a request to one replica.
+struct ControlAttempt {
+  Endpoint replica;
+  // Its reply; nullopt if none came while the call lasted.
+  std::optional<ControlReplyOutcome> outcome;
+};
+
+// "ENDPOINT OUTCOME, ..." in the order of the attempts, for log lines.
+std::string Describe(const std::vector<ControlAttempt>& attempts);
+
 // Thread-safe. The messenger must outlive the client.
 class ControlClient {
  public:
@@ -102,6 +112,7 @@
   struct Answer {
     ControlCertainty certainty = ControlCertainty::kNotDone;
     wire::ControlReply reply;  // Valid if certainty is kDone.
+    std::vector<ControlAttempt> attempts;
   };
   Answer SendRequest(Yield yield,
                      wire::ControlRequest request,
--- a/src/limpethatch/connection/internal/outbound_messages.cc
+++ b/src/limpethatch/connection/internal/outbound_messages.cc
@@ -20,6 +20,8 @@
 constexpr size_t kMaxWriteBytes = 64UL * 1024;
 // The delay between two attempts to connect to a peer.
 constexpr Duration kReconnectDelay = std::chrono::milliseconds(50);
+// The minimum interval between two log lines on messages dropped for one peer.
+constexpr Duration kDropLogPeriod = std::chrono::seconds(1);
 // The minimum interval between two searches for idle connections.
 constexpr Duration kSweepPeriod = std::chrono::seconds(1);
 
@@ -55,7 +57,7 @@
     std::scoped_lock lock(mutex_);
     RemoveIdlePeers(now, &idle);
     peer = FindOrAddPeer(endpoint, now);
-    Enqueue(*peer, message, now);
+    Enqueue(*peer, endpoint, message, now);
   }
   for (const PeerPtr& closing : idle) {
     Close(closing);
@@ -66,6 +68,7 @@
 }
 
 void OutboundMessages::Enqueue(Peer& peer,
+                               const Endpoint& endpoint,
                                std::string_view message,
                                TimePoint now) {
   const auto max_messages = static_cast<size_t>(options_.max_queued_per_peer);
@@ -74,8 +77,15 @@
       !peer.queue.empty() &&
       peer.queued_bytes + message.size() > options_.max_queued_bytes_per_peer;
   if (too_many || too_large) {
-    Log(LogLevel::kDebug, "message_dropped",
-        {{"queued", peer.queue.size()}, {"queued_bytes", peer.queued_bytes}});
+    ++peer.dropped;
+    if (now - peer.drop_logged_at >= kDropLogPeriod) {
+      peer.drop_logged_at = now;
+      Log(LogLevel::kInfo, "messages_dropped",
+          {{"peer", endpoint.ToString()},
+           {"total", peer.dropped},
+           {"queued", peer.queue.size()},
+           {"queued_bytes", peer.queued_bytes}});
+    }
     return;
   }
   QueuedMessage queued{EncodeMessageFrame(message), now};
--- a/src/limpethatch/connection/internal/outbound_messages.h
+++ b/src/limpethatch/connection/internal/outbound_messages.h
@@ -39,8 +39,9 @@
     std::string frame;
     TimePoint queued_at;
   };
-  // The queue, `queued_bytes`, `in_flight` and `last_used` are guarded by
-  // `mutex_`; all other members are used only on the thread of `io_`.
+  // The queue, `queued_bytes`, `in_flight`, `last_used` and what concerns drops
+  // are guarded by `mutex_`; all other members are used only on the thread of
+  // `io_`.
   struct Peer {
     explicit Peer(boost::asio::io_context& context)
         : socket(context), timer(context) {}
@@ -57,12 +58,17 @@
     size_t queued_bytes = 0;
     size_t in_flight = 0;  // Messages in `write_buffer`.
     TimePoint last_used;
+    uint64_t dropped = 0;  // Messages for which the queue had no room.
+    TimePoint drop_logged_at;
   };
   using PeerPtr = std::shared_ptr<Peer>;
 
   PeerPtr FindOrAddPeer(const Endpoint& endpoint, TimePoint now);
   void RemoveIdlePeers(TimePoint now, std::vector<PeerPtr>* idle);
-  void Enqueue(Peer& peer, std::string_view message, TimePoint now);
+  void Enqueue(Peer& peer,
+               const Endpoint& endpoint,
+               std::string_view message,
+               TimePoint now);
   static std::string PopFront(Peer& peer);
   void Close(const PeerPtr& peer);
   void Flush(const PeerPtr& peer, const Endpoint& endpoint);
--- a/src/programs/control/control_service.cc
+++ b/src/programs/control/control_service.cc
@@ -142,6 +142,11 @@
   if (leading() &&
       sessions_.IsStaleRequest(request.from(), request.incarnation(),
                                request.id(), request.oldest_open())) {
+    Log(LogLevel::kInfo, "command_outdated",
+        {{"from", request.from()},
+         {"incarnation", request.incarnation()},
+         {"id", request.id()},
+         {"oldest_open", request.oldest_open()}});
     return;
   }
   if (std::optional<wire::CommandResult> result =
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -70,6 +70,19 @@
   }
 }
 
+// A request to a follower, which names the leader, and one to the leader.
+constexpr size_t kUsualAttempts = 2;
+
+std::string_view ChangeName(const wire::Command& command) {
+  if (command.has_configuration_put()) {
+    return "configuration";
+  }
+  if (command.has_weights_named()) {
+    return "weights";
+  }
+  return command.has_instance_retire() ? "retirement" : "other";
+}
+
 }  // namespace
 
 FleetService::FleetService(boost::asio::io_context& io,
@@ -431,12 +444,23 @@
 }
 
 ChangeOutcome FleetService::SubmitCommand(Yield yield, wire::Command command) {
+  const TimePoint began_at = Clock::now();
+  const std::string_view change = ChangeName(command);
   wire::ControlRequest request;
   *request.mutable_command() = std::move(command);
-  return ToChangeOutcome(
-      client_
-          .SendRequest(yield, std::move(request), Clock::now() + kCallTimeout)
-          .certainty);
+  const ControlClient::Answer answer =
+      client_.SendRequest(yield, std::move(request), began_at + kCallTimeout);
+  const bool slow = answer.attempts.size() > kUsualAttempts;
+  if (answer.certainty != ControlCertainty::kDone || slow) {
+    Log(LogLevel::kInfo, "change_retried",
+        {{"change", change},
+         {"attempts", Describe(answer.attempts)},
+         {"leader", replica_.LeaderEndpoint()},
+         {"took_ms",
+          std::chrono::duration_cast<milliseconds>(Clock::now() - began_at)
+              .count()}});
+  }
+  return ToChangeOutcome(answer.certainty);
 }
 
 ChangeOutcome FleetService::PutConfiguration(
