--- a/tests/control/control_fixture.h
+++ b/tests/control/control_fixture.h
@@ -9,7 +9,10 @@
 #include <cstdlib>
 #include <filesystem>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "connection/free_endpoint.h"
 #include "envelope.pb.h"
@@ -27,7 +30,7 @@
 // loop one handler at a time.
 class ControlFixture {
  public:
-  ControlFixture()
+  explicit ControlFixture(std::vector<Endpoint> seeds = {{"127.0.0.1", 1}})
       : folder_(std::filesystem::temp_directory_path() /
                 ("limpethatch-control-" + std::to_string(getpid()))) {
     std::filesystem::remove_all(folder_);
@@ -38,7 +41,7 @@
     settings_.fleet = true;
     settings_.name = "control-1";
     settings_.api = FreeEndpoint();
-    settings_.seeds = {{"127.0.0.1", 1}};
+    settings_.seeds = std::move(seeds);
     wire::Member& replica = settings_.replicas.emplace_back();
     replica.set_id("127.0.0.1");
     replica.set_endpoint(settings_.peers.ToString());
@@ -70,6 +73,26 @@
       io_.run_one();
     }
   }
+  // Receives messages of other processes, and those of its own client.
+  void Listen() {
+    if (messenger_.Listen(settings_.peers)) {
+      std::abort();
+    }
+  }
+  // Submits a configuration by a call of this instance, as an operator does.
+  ChangeOutcome CallWithConfiguration(uint64_t version) {
+    std::optional<ChangeOutcome> outcome;
+    Spawn(io_, [&](Yield yield) {
+      outcome =
+          service_->fleet()->PutConfiguration(yield, ConfigurationOf(version, 1)
+                                                         .request()
+                                                         .command()
+                                                         .configuration_put()
+                                                         .configuration());
+    });
+    RunUntil([&] { return outcome.has_value(); });
+    return *outcome;
+  }
   // Sends a configuration once.
   void OfferConfiguration(uint64_t version) {
     Receive(ConfigurationOf(version, 1));
@@ -148,7 +171,9 @@
   ControlSettings settings_;
   boost::asio::io_context io_{1};
   TimerService timers_{io_};
-  Messenger messenger_{io_, {}, [](std::string_view) {}};
+  Messenger messenger_{io_, {}, [this](std::string_view bytes) {
+                         service_->Receive(bytes);
+                       }};
   std::unique_ptr<ControlService> service_;
 };
 
