Ask the known leader, and replicas that answer, before lost ones

Operators' calls ended after 0.9 s at instances that followed or led a leader in touch, though it could have acknowledged the change within milliseconds.

Cause: a control instance searched the leader by trial. Its list holds each replica it ever knew, and only grows; a call asked them in that order from the last leader on, 300 ms each, and lasts 900 ms. After a change of leader, three that do not answer (the former leader and two that were replaced) used up the call, and the next call of that instance went on from there. The process knew the leader from its own replica.

Now the call asks the leader that the caller knows first, before each attempt anew; then replicas that were heard from within a second; one that left an attempt unanswered comes after the others, also in later calls; one that is not responsive is asked once a round at most while responsive ones refuse. A leader that is named during a call may be one that the client did not know when the call began.

--- a/src/limpethatch/connection/control_client.cc
+++ b/src/limpethatch/connection/control_client.cc
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <numeric>
 #include <random>
 #include <utility>
 
@@ -62,6 +63,10 @@
   return "uncertain";
 }
 
+// A replica counts as responsive for this time after it was heard from. Covers
+// several signs of life of control instances.
+constexpr Duration kResponsiveTime = std::chrono::seconds(1);
+
 // A number with room for the requests of one process above it.
 uint64_t RandomIdBase() {
   constexpr int kRequestBits = 31;
@@ -98,6 +103,7 @@
                       TimePoint deadline,
                       Duration extra_timeout = {});
   void AddReplica(const Endpoint& replica);
+  void RecordContact(const Endpoint& replica, TimePoint now);
   void OnReply(const wire::ControlReply& reply);
   void Hello(const Yield& yield, wire::Hello hello, TimePoint deadline);
   std::optional<ControlNews> news() const;
@@ -107,6 +113,8 @@
  private:
   struct Replica {
     TimePoint last_reset = TimePoint::min();
+    TimePoint last_heard_at = TimePoint::min();
+    // It has answered nothing since an attempt at it timed out.
     bool answer_missed = false;
   };
   struct Attempt {
@@ -128,6 +136,9 @@
       std::vector<ControlAttempt>* attempts);
   void RemoveAttempts(const Waiter& waiter);
   std::optional<size_t> IndexOf(const std::string& address) const;
+  // Sets the order in which the replicas are asked.
+  void SetOrder(TimePoint now, ControlRetryOptions* options) const;
+  std::optional<size_t> KnownLeader();
 
   Messenger& messenger_;
   const ControlClientOptions options_;
@@ -153,25 +164,18 @@
   request.set_incarnation(incarnation_);
   request.set_reply_to(options_.reply_to.ToString());
   auto waiter = std::make_shared<Waiter>(yield.get_executor());
-  size_t first = 0;
-  size_t replica_count = 0;
-  {
-    std::scoped_lock lock(mutex_);
-    first = likely_leader_;
-    replica_count = endpoints_.size();
-  }
-  ControlRetry retry(
-      {.replicas = replica_count,
-       .first = first,
-       .deadline = deadline,
-       .attempt_timeout = options_.attempt_timeout + extra_timeout,
-       .round_pause = options_.round_pause});
+  ControlRetryOptions retry_options{
+      .deadline = deadline,
+      .attempt_timeout = options_.attempt_timeout + extra_timeout,
+      .round_pause = options_.round_pause};
+  SetOrder(Clock::now(), &retry_options);
+  ControlRetry retry(std::move(retry_options));
   CallAnswer answer;
   for (;;) {
     if (auto reply = ProcessReplies(*waiter, &retry, &answer.attempts)) {
       answer.reply = std::move(*reply);
     }
-    const ControlAction action = retry.Next(Clock::now());
+    const ControlAction action = retry.Next(Clock::now(), KnownLeader());
     if (action.timed_out_replica) {
       OnAttemptTimeout(*action.timed_out_replica);
     }
@@ -218,9 +222,6 @@
     endpoint = endpoints_[index];
     Replica& replica = replicas_[index];
     replica.answer_missed = true;
-    if (likely_leader_ == index) {
-      likely_leader_ = (index + 1) % replicas_.size();
-    }
     // Concurrent calls to the same replica time out together; only the first
     // one resets the connection.
     if (replica.last_reset != TimePoint::min() &&
@@ -270,6 +271,7 @@
     }
     const Attempt& attempt = found->second;
     replicas_[attempt.replica].answer_missed = false;
+    replicas_[attempt.replica].last_heard_at = Clock::now();
     if (reply.outcome() == wire::ControlReply::OK) {
       likely_leader_ = attempt.replica;
     } else if (const auto leader = IndexOf(reply.leader())) {
@@ -294,6 +296,37 @@
   return std::nullopt;
 }
 
+void ControlClient::Calls::SetOrder(TimePoint now,
+                                    ControlRetryOptions* options) const {
+  std::scoped_lock lock(mutex_);
+  const auto is_responsive = [&](size_t index) {
+    return replicas_[index].last_heard_at > now - kResponsiveTime;
+  };
+  std::vector<size_t>& order = options->order;
+  order.resize(endpoints_.size());
+  std::iota(order.begin(), order.end(), 0);
+  std::rotate(order.begin(),
+              order.begin() + static_cast<std::ptrdiff_t>(likely_leader_),
+              order.end());
+  std::stable_partition(order.begin(), order.end(), [&](size_t index) {
+    return !replicas_[index].answer_missed;
+  });
+  const auto others =
+      std::stable_partition(order.begin(), order.end(), is_responsive);
+  options->responsive = static_cast<size_t>(others - order.begin());
+}
+
+std::optional<size_t> ControlClient::Calls::KnownLeader() {
+  const std::optional<Endpoint> leader =
+      options_.known_leader ? options_.known_leader() : std::nullopt;
+  if (!leader) {
+    return std::nullopt;
+  }
+  AddReplica(*leader);
+  std::scoped_lock lock(mutex_);
+  return IndexOf(leader->ToString());
+}
+
 void ControlClient::Calls::Hello(const Yield& yield,
                                  wire::Hello hello,
                                  TimePoint deadline) {
@@ -403,10 +436,24 @@
   }
 }
 
+void ControlClient::Calls::RecordContact(const Endpoint& replica,
+                                         TimePoint now) {
+  std::scoped_lock lock(mutex_);
+  const auto found = std::find(endpoints_.begin(), endpoints_.end(), replica);
+  if (found != endpoints_.end()) {
+    replicas_[static_cast<size_t>(found - endpoints_.begin())].last_heard_at =
+        now;
+  }
+}
+
 void ControlClient::AddReplica(const Endpoint& replica) {
   calls_->AddReplica(replica);
 }
 
+void ControlClient::RecordContact(const Endpoint& replica, TimePoint now) {
+  calls_->RecordContact(replica, now);
+}
+
 ControlClient::Answer ControlClient::SendRequest(Yield yield,
                                                  wire::ControlRequest request,
                                                  TimePoint deadline,
--- a/src/limpethatch/connection/control_client.h
+++ b/src/limpethatch/connection/control_client.h
@@ -47,6 +47,9 @@
   Duration attempt_timeout = std::chrono::milliseconds(300);
   Duration round_pause = std::chrono::milliseconds(100);
   Duration hello_period = std::chrono::seconds(1);
+  // The leader as far as this process knows by other means, such as a replica
+  // of its own. Called on the executors of calls; may be empty.
+  std::function<std::optional<Endpoint>()> known_leader = {};
 };
 
 struct ControlOutcome {
@@ -104,6 +107,9 @@
 
   // Adds a replica that requests may be sent to. Known ones are ignored.
   void AddReplica(const Endpoint& replica);
+  // Records that a replica was heard from otherwise than by a reply. Those that
+  // were heard from recently are asked before the others.
+  void RecordContact(const Endpoint& replica, TimePoint now);
 
   // Sends the request to the leader and waits for its answer, which is valid if
   // its certainty is kDone. `extra_timeout` is added to the time limit of each
--- a/src/limpethatch/connection/internal/control_retry.cc
+++ b/src/limpethatch/connection/internal/control_retry.cc
@@ -1,13 +1,22 @@
 #include "limpethatch/connection/internal/control_retry.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace limpethatch {
+namespace {
 
-ControlRetry::ControlRetry(const ControlRetryOptions& options)
-    : options_(options), next_replica_(options.first) {}
+// For this multiple of the time limit of an attempt, a replica that did not
+// answer comes after all others.
+constexpr int kSilentAttempts = 3;
 
-ControlAction ControlRetry::Next(TimePoint now) {
+}  // namespace
+
+ControlRetry::ControlRetry(ControlRetryOptions options)
+    : options_(std::move(options)) {}
+
+ControlAction ControlRetry::Next(TimePoint now,
+                                 std::optional<size_t> known_leader) {
   if (certainty_) {
     return Finish(*certainty_);
   }
@@ -19,7 +28,7 @@
               .until = until,
               .timed_out_replica = {}};
     }
-    timed_out_replica = ExpirePendingAttempt();
+    timed_out_replica = ExpirePendingAttempt(now);
   }
   ControlAction action;
   const bool may_retry = options_.repeatable || unresolved_.empty();
@@ -29,12 +38,13 @@
   } else if (now < paused_until_) {
     action.kind = ControlAction::Kind::kWait;
     action.until = std::min(paused_until_, options_.deadline);
-  } else if (refusals_ >= options_.replicas) {
-    refusals_ = 0;
-    paused_until_ = now + options_.round_pause;
-    return Next(now);
+  } else if (const auto replica = ChooseReplica(now, known_leader)) {
+    action = Send(*replica, now);
   } else {
-    action = Send(now);
+    refused_.clear();
+    may_ask_unresponsive_ = true;
+    paused_until_ = now + options_.round_pause;
+    return Next(now, known_leader);
   }
   action.timed_out_replica = timed_out_replica;
   return action;
@@ -53,22 +63,71 @@
   if (!pending_ || pending_->attempt != attempt) {
     return;
   }
-  next_replica_ = (pending_->replica + 1) % options_.replicas;
-  if (leader && *leader < options_.replicas && *leader != pending_->replica) {
-    next_replica_ = *leader;
-  }
+  named_leader_ = leader;
+  refused_.insert(pending_->replica);
   pending_.reset();
-  ++refusals_;
 }
 
-size_t ControlRetry::ExpirePendingAttempt() {
+size_t ControlRetry::ExpirePendingAttempt(TimePoint now) {
   const size_t replica = pending_->replica;
   pending_.reset();
-  next_replica_ = (replica + 1) % options_.replicas;
-  refusals_ = 0;
+  refused_.clear();
+  timed_out_at_[replica] = now;
   return replica;
 }
 
+std::optional<size_t> ControlRetry::FirstPromising(size_t begin,
+                                                   size_t end,
+                                                   TimePoint now) const {
+  for (size_t i = begin; i < end; ++i) {
+    if (IsPromising(options_.order[i], now)) {
+      return options_.order[i];
+    }
+  }
+  return std::nullopt;
+}
+
+bool ControlRetry::IsPromising(size_t replica, TimePoint now) const {
+  const auto timed_out = timed_out_at_.find(replica);
+  const bool silent =
+      timed_out != timed_out_at_.end() &&
+      now - timed_out->second < kSilentAttempts * options_.attempt_timeout;
+  return !silent && !refused_.contains(replica);
+}
+
+std::optional<size_t> ControlRetry::ChooseReplica(
+    TimePoint now,
+    std::optional<size_t> known_leader) {
+  const std::optional<size_t> named_leader =
+      std::exchange(named_leader_, std::nullopt);
+  for (const std::optional<size_t>& leader : {named_leader, known_leader}) {
+    if (leader && IsPromising(*leader, now)) {
+      return leader;
+    }
+  }
+  if (const auto replica = FirstPromising(0, options_.responsive, now)) {
+    return replica;
+  }
+  // An attempt at one of the others may cost its whole time limit, in which a
+  // responsive one may become the leader.
+  const bool responsive_refused = options_.responsive > 0 && !refused_.empty();
+  if (!responsive_refused || std::exchange(may_ask_unresponsive_, false)) {
+    if (const auto replica =
+            FirstPromising(options_.responsive, options_.order.size(), now)) {
+      return replica;
+    }
+  }
+  // Its answer may have been lost.
+  if (named_leader && !refused_.contains(*named_leader)) {
+    return named_leader;
+  }
+  if (!refused_.empty()) {
+    return std::nullopt;
+  }
+  timed_out_at_.clear();
+  return options_.order.front();
+}
+
 ControlAction ControlRetry::Finish(ControlCertainty certainty) const {
   return {.kind = ControlAction::Kind::kFinish,
           .until = {},
@@ -76,9 +135,9 @@
           .timed_out_replica = {}};
 }
 
-ControlAction ControlRetry::Send(TimePoint now) {
-  pending_ = PendingAttempt{next_replica_, attempts_++,
-                            now + options_.attempt_timeout};
+ControlAction ControlRetry::Send(size_t replica, TimePoint now) {
+  pending_ =
+      PendingAttempt{replica, attempts_++, now + options_.attempt_timeout};
   unresolved_.insert(pending_->attempt);
   return {.kind = ControlAction::Kind::kSend,
           .replica = pending_->replica,
--- a/src/limpethatch/connection/internal/control_retry.h
+++ b/src/limpethatch/connection/internal/control_retry.h
@@ -4,8 +4,10 @@
 #define LIMPETHATCH_CONNECTION_INTERNAL_CONTROL_RETRY_H_
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 #include "limpethatch/process/clock.h"
 
@@ -22,8 +24,10 @@
 enum class ControlReplyOutcome { kOk, kNotLeader, kUnavailable, kUncertain };
 
 struct ControlRetryOptions {
-  size_t replicas = 1;
-  size_t first = 0;  // Index of the first replica to try.
+  // Indices of the replicas, the most promising one first. Must not be empty.
+  std::vector<size_t> order = {0};
+  // Number of replicas at the front of `order` that were heard from recently.
+  size_t responsive = 0;
   // True if the request is idempotent, so that it may be sent again after an
   // attempt without an answer.
   bool repeatable = true;
@@ -48,12 +52,15 @@
 // actions that Next returns until one is kFinish.
 class ControlRetry {
  public:
-  explicit ControlRetry(const ControlRetryOptions& options);
+  explicit ControlRetry(ControlRetryOptions options);
 
-  ControlAction Next(TimePoint now);
+  // `known_leader` is the index of the replica that the caller itself takes for
+  // the leader, if any. It is preferred to the order.
+  ControlAction Next(TimePoint now, std::optional<size_t> known_leader = {});
 
   // Handles a reply to any attempt, including late ones. `leader` is the index
-  // of the replica that the reply names as the leader, if any.
+  // of the replica that the reply names as the leader, if any; it need not be
+  // in the order.
   void OnReply(size_t attempt,
                ControlReplyOutcome reply_outcome,
                std::optional<size_t> leader);
@@ -66,17 +73,32 @@
   };
 
   // Ends the pending attempt as timed out. Returns its replica.
-  size_t ExpirePendingAttempt();
+  size_t ExpirePendingAttempt(TimePoint now);
+  // The replica to ask next; nullopt if all have refused since the last pause.
+  std::optional<size_t> ChooseReplica(TimePoint now,
+                                      std::optional<size_t> known_leader);
+  // The first promising one of `order` at the given positions.
+  std::optional<size_t> FirstPromising(size_t begin,
+                                       size_t end,
+                                       TimePoint now) const;
+  // True if the replica has neither refused in this round nor left an attempt
+  // unanswered recently.
+  bool IsPromising(size_t replica, TimePoint now) const;
   ControlAction Finish(ControlCertainty certainty) const;
-  ControlAction Send(TimePoint now);
+  ControlAction Send(size_t replica, TimePoint now);
 
   const ControlRetryOptions options_;
   std::optional<PendingAttempt> pending_;
   std::set<size_t> unresolved_;  // Attempts that may have taken effect.
   std::optional<ControlCertainty> certainty_;
-  size_t next_replica_;
+  // As the latest refusal named it.
+  std::optional<size_t> named_leader_;
+  std::set<size_t> refused_;  // Since the last pause or timed-out attempt.
+  // In this round, one that is not responsive may be asked although a
+  // responsive one has refused.
+  bool may_ask_unresponsive_ = false;
+  std::map<size_t, TimePoint> timed_out_at_;  // By replica.
   size_t attempts_ = 0;
-  size_t refusals_ = 0;  // Since the last pause or timed-out attempt.
   TimePoint paused_until_ = TimePoint::min();
 };
 
--- a/src/programs/control/fleet_members.cc
+++ b/src/programs/control/fleet_members.cc
@@ -49,6 +49,7 @@
 }
 
 void FleetService::SendDigests(TimePoint now) {
+  client_.RecordContact(settings_.peers, now);
   wire::ControlDigest digest = MakeDigest(now);
   wire::ControlDigest sign_of_life = digest;
   for (const std::string& id : std::exchange(pending_digest_targets_, {})) {
@@ -168,6 +169,9 @@
     }
   }
   UpdatePeer(digest.sender(), now);
+  if (Endpoint sender; ParseEndpoint(digest.sender().endpoint(), &sender)) {
+    client_.RecordContact(sender, now);
+  }
   if (digest.has_relays()) {
     peers_[digest.sender().id()].relays = digest.relays();
   }
--- a/src/programs/control/fleet_service.cc
+++ b/src/programs/control/fleet_service.cc
@@ -47,7 +47,8 @@
 constexpr size_t kApiDivisor = 2;
 constexpr size_t kMonitoringDivisor = 64;
 
-ControlClientOptions ClientOptions(const ControlSettings& settings) {
+ControlClientOptions ClientOptions(const ControlSettings& settings,
+                                   const ReplicaRunner& replica) {
   ControlClientOptions options;
   options.instance = settings.process.id;
   options.zone = settings.process.zone;
@@ -55,7 +56,16 @@
   for (const Endpoint& seed : settings.seeds) {
     options.replicas.push_back(settings.MessengerEndpoint(seed));
   }
-  options.replicas.push_back(settings.peers);
+  if (std::find(options.replicas.begin(), options.replicas.end(),
+                settings.peers) == options.replicas.end()) {
+    options.replicas.push_back(settings.peers);
+  }
+  options.known_leader = [&replica]() -> std::optional<Endpoint> {
+    Endpoint leader;
+    return ParseEndpoint(replica.LeaderEndpoint(), &leader)
+               ? std::optional(leader)
+               : std::nullopt;
+  };
   return options;
 }
 
@@ -95,7 +105,7 @@
       messenger_(messenger),
       settings_(settings),
       replica_(replica),
-      client_(io, messenger, ClientOptions(settings)),
+      client_(io, messenger, ClientOptions(settings, replica)),
       client_memory_(std::make_shared<ClientMemory>(
           settings.client_limits.Budget(kMemoryDivisor))),
       api_(
--- a/tests/connection/control_client_test.cc
+++ b/tests/connection/control_client_test.cc
@@ -73,6 +73,18 @@
     return outcome;
   }
 
+  ControlClient::Answer Send(Duration timeout) {
+    ControlClient::Answer answer;
+    Spawn(io_, [&](Yield yield) {
+      wire::ControlRequest request;
+      request.mutable_status();
+      answer = client_.SendRequest(yield, request, Clock::now() + timeout);
+    });
+    io_.run();
+    io_.restart();
+    return answer;
+  }
+
   boost::asio::io_context& io() { return io_; }
   ControlClient& client() { return client_; }
 
@@ -154,6 +166,26 @@
       "no call was reported as kNotDone although the replica refused all");
 }
 
+// An instance asked replicas that were gone, 300 ms each, until its call ended.
+Test(control_client, a_replica_that_was_heard_from_is_asked_first) {
+  const Endpoint leader = FreeEndpoint();
+  FakeReplica replica(leader, [](const auto&, auto* reply) {
+    reply->set_outcome(wire::ControlReply::OK);
+    return true;
+  });
+  std::vector<Endpoint> replicas;
+  for (int i = 0; i < 16; ++i) {
+    replicas.push_back(FreeEndpoint());
+  }
+  replicas.push_back(leader);
+  ClientFixture fixture(std::move(replicas));
+  fixture.client().RecordContact(leader, Clock::now());
+  const ControlClient::Answer answer = fixture.Send(20s);
+  cr_assert(answer.certainty == ControlCertainty::kDone);
+  cr_assert(answer.attempts.front().replica == leader, "%s",
+            Describe(answer.attempts).c_str());
+}
+
 Test(control_client, hello_keeps_only_the_newest_reply) {
   const Endpoint address = FreeEndpoint();
   std::atomic<int> older_replies = 0;
