Point callers beyond a partition instead of holding their calls

An instance that was cut off from the other control instances held each change for 900 ms and answered 504.

Cause: a call was sent to replicas until its deadline, although the instance had heard nobody for seconds and could not serve it. It could not point callers elsewhere either, as it only named instances that it hears.

After a second without a quorum in contact, an instance answers changes and reads of the configuration with 307 and the address of a member that it does not hear, in turn. Who is beyond the partition can serve the caller at once; if nobody is, the caller has lost no more than the 900 ms that it was held before. Calls in the first second are held as before, as an election may end them.

--- a/src/limpethatch/connection/fleet_interface.h
+++ b/src/limpethatch/connection/fleet_interface.h
@@ -49,6 +49,9 @@
   // The address of an instance whose state is recent, if the state of this one
   // is not and it knows another.
   virtual std::optional<Endpoint> BetterInstance() const = 0;
+  // If this instance has been cut off from a quorum for a while: the address of
+  // one that it does not hear. Callers may reach that one and be served there.
+  virtual std::optional<Endpoint> InstanceBeyondPartition() const = 0;
   // Returns true if the configuration declares the service, or if no
   // configuration is known yet.
   virtual bool KnowsService(std::string_view service) const = 0;
--- a/src/programs/control/fleet_members.cc
+++ b/src/programs/control/fleet_members.cc
@@ -144,6 +144,39 @@
   return Endpoint{messenger.host, settings_.api.port};
 }
 
+std::optional<Endpoint> FleetService::InstanceBeyondPartition() const {
+  const TimePoint now = Clock::now();
+  const Consensus* consensus = replica_.consensus();
+  if (!consensus || HasQuorumContact(now) ||
+      now - started_at_ < kAliveTimeout) {
+    return std::nullopt;
+  }
+  size_t voters = 0;
+  std::vector<const wire::Member*> silent;
+  for (const wire::Member& member : consensus->members().members()) {
+    voters += member.voter() ? 1 : 0;
+    if (member.voter() && member.id() != settings_.process.id &&
+        now - LastContactAt(member.id()) > kAliveTimeout) {
+      silent.push_back(&member);
+    }
+  }
+  const size_t in_contact = voters - silent.size();
+  Endpoint messenger;
+  if (silent.empty() || in_contact > voters / 2 ||
+      !ParseEndpoint(silent[redirects_++ % silent.size()]->endpoint(),
+                     &messenger)) {
+    return std::nullopt;
+  }
+  return Endpoint{messenger.host, settings_.api.port};
+}
+
+TimePoint FleetService::LastContactAt(const std::string& id) const {
+  const auto peer = peers_.find(id);
+  return std::max(
+      replica_.LastContactAt(id),
+      peer == peers_.end() ? TimePoint() : peer->second.last_contact_at);
+}
+
 void FleetService::Receive(const wire::ControlDigest& digest) {
   const TimePoint now = Clock::now();
   for (const wire::StreamOrigin& origin : digest.stream_origins()) {
@@ -245,8 +278,7 @@
     // A replica that receives a snapshot sends no digests to a leader that
     // does not serve, but answers each chunk.
     add_view(id, peer.record.endpoint(), peer.record.zone(),
-             Applies(peer.record),
-             std::max(peer.last_contact_at, replica_.LastContactAt(id)));
+             Applies(peer.record), LastContactAt(id));
   }
   const size_t replica_count = 2 * settings_.tolerated_losses + 1;
   const std::optional<MemberChange> change =
--- a/src/programs/control/fleet_service.h
+++ b/src/programs/control/fleet_service.h
@@ -82,6 +82,7 @@
       Yield yield) override;
   Endpoint CallAddress() const override { return settings_.api; }
   std::optional<Endpoint> BetterInstance() const override;
+  std::optional<Endpoint> InstanceBeyondPartition() const override;
   bool KnowsService(std::string_view service) const override;
   bool HasModels(std::string_view service) const override;
   bool Announce(const wire::TargetRecord& target) override;
@@ -164,6 +165,8 @@
   // Whether the instance applies all commands that may be in the log.
   bool Applies(const wire::ControlInstanceRecord& record) const;
   const Peer* FindPeerByName(const std::string& name) const;
+  // When the instance was last heard from, by whatever message.
+  TimePoint LastContactAt(const std::string& id) const;
   // Number of responsive, unretired control instances other than `id`.
   size_t CountRemainingInstances(const std::string& id, TimePoint now) const;
 
@@ -324,6 +327,7 @@
   uint64_t distribution_gateways_ = 0;
   TimePoint distribution_started_at_;
   bool had_quorum_contact_ = false;  // As of the last log line.
+  const TimePoint started_at_ = Clock::now();
 
   StreamOrigins stream_origins_;
   // To be included in the next digest.
--- a/tests/control/fleet_fixture.h
+++ b/tests/control/fleet_fixture.h
@@ -288,6 +288,16 @@
     }
   }
 
+  // Ends a running control instance other than `instance`.
+  void StopOneBeside(const ControlInstance& instance) {
+    for (const auto& other : control_) {
+      if (other.get() != &instance && other->running()) {
+        other->Stop();
+        return;
+      }
+    }
+  }
+
   // Puts a configuration into force with a route "/l/" to the service "desk"
   // and a route "/j/" for batch jobs on the engines "coach". With
   // organisations, requests need a key.
