Hold back lost replicas only while no leader is named

And a replica that had answered within a second and then left an attempt unanswered still counted as responsive in the next call.

Lost replicas are held back only if responsive ones refuse and name no leader; a replica that left an attempt unanswered counts as responsive once it is heard from again.

--- a/src/limpethatch/connection/control_client.cc
+++ b/src/limpethatch/connection/control_client.cc
@@ -114,8 +114,13 @@
   struct Replica {
     TimePoint last_reset = TimePoint::min();
     TimePoint last_heard_at = TimePoint::min();
-    // It has answered nothing since an attempt at it timed out.
+    // Nothing was heard from it since an attempt that timed out.
     bool answer_missed = false;
+
+    void OnHeard(TimePoint now) {
+      last_heard_at = now;
+      answer_missed = false;
+    }
   };
   struct Attempt {
     std::shared_ptr<Waiter> waiter;
@@ -270,8 +275,7 @@
       return;
     }
     const Attempt& attempt = found->second;
-    replicas_[attempt.replica].answer_missed = false;
-    replicas_[attempt.replica].last_heard_at = Clock::now();
+    replicas_[attempt.replica].OnHeard(Clock::now());
     if (reply.outcome() == wire::ControlReply::OK) {
       likely_leader_ = attempt.replica;
     } else if (const auto leader = IndexOf(reply.leader())) {
@@ -300,7 +304,8 @@
                                     ControlRetryOptions* options) const {
   std::scoped_lock lock(mutex_);
   const auto is_responsive = [&](size_t index) {
-    return replicas_[index].last_heard_at > now - kResponsiveTime;
+    return !replicas_[index].answer_missed &&
+           replicas_[index].last_heard_at > now - kResponsiveTime;
   };
   std::vector<size_t>& order = options->order;
   order.resize(endpoints_.size());
@@ -441,8 +446,7 @@
   std::scoped_lock lock(mutex_);
   const auto found = std::find(endpoints_.begin(), endpoints_.end(), replica);
   if (found != endpoints_.end()) {
-    replicas_[static_cast<size_t>(found - endpoints_.begin())].last_heard_at =
-        now;
+    replicas_[static_cast<size_t>(found - endpoints_.begin())].OnHeard(now);
   }
 }
 
--- a/src/limpethatch/connection/internal/control_retry.cc
+++ b/src/limpethatch/connection/internal/control_retry.cc
@@ -108,10 +108,15 @@
   if (const auto replica = FirstPromising(0, options_.responsive, now)) {
     return replica;
   }
-  // An attempt at one of the others may cost its whole time limit, in which a
-  // responsive one may become the leader.
-  const bool responsive_refused = options_.responsive > 0 && !refused_.empty();
-  if (!responsive_refused || std::exchange(may_ask_unresponsive_, false)) {
+  // If responsive ones know of no leader, one of them may become it within the
+  // time limit of an attempt at another.
+  const bool no_leader_yet =
+      !named_leader &&
+      std::any_of(options_.order.begin(),
+                  options_.order.begin() +
+                      static_cast<std::ptrdiff_t>(options_.responsive),
+                  [&](size_t replica) { return refused_.contains(replica); });
+  if (!no_leader_yet || std::exchange(may_ask_unresponsive_, false)) {
     if (const auto replica =
             FirstPromising(options_.responsive, options_.order.size(), now)) {
       return replica;
--- a/tests/connection/control_retry_test.cc
+++ b/tests/connection/control_retry_test.cc
@@ -145,3 +145,20 @@
   retry.OnReply(0, ControlReplyOutcome::kNotLeader, 7);
   cr_assert(retry.Next(kStart).replica == 7);
 }
+
+// A follower names a leader that has just died; another replica leads already.
+Test(control_retry, others_are_asked_before_a_named_leader_that_is_silent) {
+  ControlRetryOptions options = Options();
+  options.responsive = 1;
+  ControlRetry retry(options);
+  cr_assert(retry.Next(kStart).replica == 0);
+  retry.OnReply(0, ControlReplyOutcome::kNotLeader, 2);
+  cr_assert(retry.Next(kStart).replica == 2);
+  cr_assert(retry.Next(kStart + 300ms).replica == 0);
+  retry.OnReply(2, ControlReplyOutcome::kNotLeader, 2);
+  cr_assert(retry.Next(kStart + 300ms).replica == 1);
+  retry.OnReply(3, ControlReplyOutcome::kNotLeader, 2);
+  const ControlAction last = retry.Next(kStart + 300ms);
+  cr_assert(last.kind == Kind::kSend && last.replica == 2,
+            "its answer may have been lost");
+}
