Let a large message arrive before its attempt ends

A request whose transfer takes longer than an attempt never arrived: after 300 ms the client closed the connection and sent the request again from its first byte, over a new one, until the call ended. The same for a small request that waited behind a large one: the end of its attempt ended the transfer of the other.

An attempt has the time that its request takes at 2 MiB/s in addition. A connection on which messages wait is not reset while bytes of them are being written; a replica is asked to reset its own only if nothing was heard from it since the attempt began.

Evidence: control_client/a_request_whose_transfer_outlasts_an_attempt_arrives sends 8 MiB to a replica that reads slowly.

--- a/src/limpethatch/connection/control_client.cc
+++ b/src/limpethatch/connection/control_client.cc
@@ -67,6 +67,14 @@
 // several signs of life of control instances.
 constexpr Duration kResponsiveTime = std::chrono::seconds(1);
 
+// A request may arrive at this rate at least before its attempt counts as
+// unanswered: an end of the attempt ends the transfer.
+constexpr size_t kMinBytesPerSecond = 2UL * 1024 * 1024;
+
+Duration TransferTime(size_t bytes) {
+  return Duration(std::chrono::seconds(1)) * bytes / kMinBytesPerSecond;
+}
+
 // A number with room for the requests of one process above it.
 uint64_t RandomIdBase() {
   constexpr int kRequestBits = 31;
@@ -132,7 +140,8 @@
   Endpoint Send(const ControlAction& action,
                 const std::shared_ptr<Waiter>& waiter,
                 wire::ControlRequest* request);
-  void OnAttemptTimeout(size_t index);
+  // `sent_at`: when the attempt that timed out was sent.
+  void OnAttemptTimeout(size_t index, TimePoint sent_at);
   // Passes the received replies to `retry` and records their outcomes. Returns
   // the first successful one, if any.
   std::optional<wire::ControlReply> ProcessReplies(
@@ -169,10 +178,11 @@
   request.set_incarnation(incarnation_);
   request.set_reply_to(options_.reply_to.ToString());
   auto waiter = std::make_shared<Waiter>(yield.get_executor());
-  ControlRetryOptions retry_options{
-      .deadline = deadline,
-      .attempt_timeout = options_.attempt_timeout + extra_timeout,
-      .round_pause = options_.round_pause};
+  const Duration attempt_timeout = options_.attempt_timeout + extra_timeout +
+                                   TransferTime(request.ByteSizeLong());
+  ControlRetryOptions retry_options{.deadline = deadline,
+                                    .attempt_timeout = attempt_timeout,
+                                    .round_pause = options_.round_pause};
   SetOrder(Clock::now(), &retry_options);
   ControlRetry retry(std::move(retry_options));
   CallAnswer answer;
@@ -182,7 +192,8 @@
     }
     const ControlAction action = retry.Next(Clock::now(), KnownLeader());
     if (action.timed_out_replica) {
-      OnAttemptTimeout(*action.timed_out_replica);
+      OnAttemptTimeout(*action.timed_out_replica,
+                       Clock::now() - attempt_timeout);
     }
     if (action.kind == ControlAction::Kind::kFinish) {
       answer.certainty = action.certainty;
@@ -219,14 +230,15 @@
   return endpoint;
 }
 
-void ControlClient::Calls::OnAttemptTimeout(size_t index) {
+void ControlClient::Calls::OnAttemptTimeout(size_t index, TimePoint sent_at) {
   const TimePoint now = Clock::now();
   Endpoint endpoint;
   {
     std::scoped_lock lock(mutex_);
     endpoint = endpoints_[index];
     Replica& replica = replicas_[index];
-    replica.answer_missed = true;
+    // What it sends arrives. A reset would lose what is on its way.
+    replica.answer_missed |= replica.last_heard_at < sent_at;
     // Concurrent calls to the same replica time out together; only the first
     // one resets the connection.
     if (replica.last_reset != TimePoint::min() &&
@@ -235,7 +247,7 @@
     }
     replica.last_reset = now;
   }
-  messenger_.Reset(endpoint);
+  messenger_.Reset(endpoint, sent_at);
 }
 
 std::optional<wire::ControlReply> ControlClient::Calls::ProcessReplies(
--- a/src/limpethatch/connection/internal/outbound_messages.cc
+++ b/src/limpethatch/connection/internal/outbound_messages.cc
@@ -101,7 +101,8 @@
   return frame;
 }
 
-void OutboundMessages::Reset(const Endpoint& endpoint) {
+void OutboundMessages::Reset(const Endpoint& endpoint,
+                             TimePoint stalled_since) {
   PeerPtr peer;
   {
     std::scoped_lock lock(mutex_);
@@ -109,6 +110,11 @@
     if (found == peers_.end()) {
       return;
     }
+    const bool transfers =
+        found->second->in_flight > 0 || !found->second->queue.empty();
+    if (transfers && found->second->progressed_at >= stalled_since) {
+      return;
+    }
     peer = found->second;
     peers_.erase(found);
   }
@@ -284,6 +290,13 @@
   peer->writing = true;
   asio::async_write(
       peer->socket, asio::buffer(peer->write_buffer),
+      [self = shared_from_this(), peer](error_code failed, size_t written) {
+        if (written > 0) {
+          std::scoped_lock lock(self->mutex_);
+          peer->progressed_at = Clock::now();
+        }
+        return failed ? 0 : kMaxWriteBytes;
+      },
       [self = shared_from_this(), peer, endpoint](error_code failed, size_t) {
         peer->writing = false;
         {
--- a/src/limpethatch/connection/internal/outbound_messages.h
+++ b/src/limpethatch/connection/internal/outbound_messages.h
@@ -26,7 +26,7 @@
   OutboundMessages(boost::asio::io_context& io, MessengerOptions options);
 
   void Send(const Endpoint& endpoint, std::string_view message);
-  void Reset(const Endpoint& endpoint);
+  void Reset(const Endpoint& endpoint, TimePoint stalled_since);
   // Must be called on the thread of `io`, or once nothing runs on `io` any
   // more.
   void CloseAll();
@@ -39,7 +39,7 @@
     std::string frame;
     TimePoint queued_at;
   };
-  // The queue, `queued_bytes`, `in_flight`, `last_used` and what concerns drops
+  // The queue, `queued_bytes`, `in_flight`, the times and what concerns drops
   // are guarded by `mutex_`; all other members are used only on the thread of
   // `io_`.
   struct Peer {
@@ -58,7 +58,8 @@
     size_t queued_bytes = 0;
     size_t in_flight = 0;  // Messages in `write_buffer`.
     TimePoint last_used;
-    uint64_t dropped = 0;  // Messages for which the queue had no room.
+    TimePoint progressed_at;  // When bytes of `write_buffer` were last written.
+    uint64_t dropped = 0;     // Messages for which the queue had no room.
     TimePoint drop_logged_at;
   };
   using PeerPtr = std::shared_ptr<Peer>;
--- a/src/limpethatch/connection/messenger.cc
+++ b/src/limpethatch/connection/messenger.cc
@@ -68,8 +68,8 @@
   outbound_->Send(peer, message);
 }
 
-void Messenger::Reset(const Endpoint& peer) {
-  outbound_->Reset(peer);
+void Messenger::Reset(const Endpoint& peer, TimePoint stalled_since) {
+  outbound_->Reset(peer, stalled_since);
 }
 
 uint64_t Messenger::bytes_sent() const {
--- a/src/limpethatch/connection/messenger.h
+++ b/src/limpethatch/connection/messenger.h
@@ -49,8 +49,11 @@
   void Send(const Endpoint& peer, std::string_view message);
 
   // Closes the connection to `peer`, so that the next Send opens a new one. For
-  // connections that carry no more data although new ones would.
-  void Reset(const Endpoint& peer);
+  // connections that carry no more data although new ones would. Does nothing
+  // if messages wait on the connection and some of their bytes were written at
+  // `stalled_since` or later: a large message takes its time, and would start
+  // from its first byte again.
+  void Reset(const Endpoint& peer, TimePoint stalled_since = TimePoint::max());
 
   // Bytes queued for sending and bytes received so far, with frame headers.
   // Used to measure network cost.
--- a/src/programs/control/control_service.cc
+++ b/src/programs/control/control_service.cc
@@ -12,6 +12,9 @@
 
 // A peer counts as reachable for this time after its last message.
 constexpr Duration kReachabilityTimeout = std::chrono::seconds(1);
+// A connection over which a reply was missed is reset unless bytes were written
+// to it within this time.
+constexpr Duration kStalledTime = std::chrono::milliseconds(300);
 constexpr Duration kWeightOrderPeriod = std::chrono::milliseconds(50);
 // Maximum number of open steps in a status reply, oldest first.
 constexpr size_t kMaxListedSteps = 200;
@@ -106,7 +109,7 @@
   }
   if (Endpoint sender;
       request.answer_missed() && ParseEndpoint(request.reply_to(), &sender)) {
-    messenger_.Reset(sender);
+    messenger_.Reset(sender, Clock::now() - kStalledTime);
   }
   // First, as it refuses some commands.
   if (fleet_ && fleet_->HandleRequest(request)) {
--- a/src/programs/control/replica_runner.cc
+++ b/src/programs/control/replica_runner.cc
@@ -162,7 +162,7 @@
         now - std::max(last_contact_at_[id], last_reset) >
             kConnectionResetTimeout) {
       last_reset = now;
-      messenger_.Reset(endpoint);
+      messenger_.Reset(endpoint, now - kConnectionResetTimeout);
     }
   }
 }
--- a/src/programs/gateway/fleet_subscriber.cc
+++ b/src/programs/gateway/fleet_subscriber.cc
@@ -108,7 +108,7 @@
       freshness_.ExpectsTransfer(now) ? kTransferReplyTimeout : kReplyTimeout;
   if (!reply_received_ && elapsed >= timeout) {
     reply_missed_ = true;
-    messenger_.Reset(current().endpoint);
+    messenger_.Reset(current().endpoint, watch_sent_at_);
     Log(LogLevel::kInfo, "control_instance_abandoned",
         {{"control", current().endpoint.ToString()}, {"reason", "no_answer"}});
     SwitchControlInstance(now);
--- a/tests/connection/control_client_test.cc
+++ b/tests/connection/control_client_test.cc
@@ -1,12 +1,16 @@
 #include "limpethatch/connection/control_client.h"
 
 #include <atomic>
+#include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <string>
+#include <thread>
 #include <vector>
 
 #include "connection/free_endpoint.h"
 #include "envelope.pb.h"
+#include "limpethatch/connection/internal/message_frame.h"
 
 #include <criterion/criterion.h>
 
@@ -44,6 +48,66 @@
   Messenger messenger_;
 };
 
+// A replica that reads requests slowly and answers the first that it has read.
+class SlowReplica {
+ public:
+  explicit SlowReplica(const Endpoint& address) {
+    using boost::asio::ip::tcp;
+    constexpr int kReceiveBufferBytes = 16 * 1024;
+    acceptor_.open(tcp::v4());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.set_option(
+        boost::asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
+    acceptor_.bind(
+        {boost::asio::ip::make_address_v4(address.host), address.port});
+    acceptor_.listen();
+    thread_ = std::thread([this] {
+      while (!done_) {
+        ServeConnection();
+      }
+    });
+  }
+  ~SlowReplica() { thread_.join(); }
+
+ private:
+  void ServeConnection() {
+    constexpr size_t kReadBytes = 64UL * 1024;
+    boost::asio::ip::tcp::socket socket(io_);
+    boost::system::error_code error;
+    acceptor_.accept(socket, error);
+    std::string received;
+    while (!error) {
+      std::string part(kReadBytes, '\0');
+      part.resize(socket.read_some(boost::asio::buffer(part), error));
+      received += part;
+      if (received.size() >= kFrameHeaderBytes &&
+          received.size() - kFrameHeaderBytes >=
+              DecodeMessageLength(received)) {
+        Answer(received);
+        return;
+      }
+      std::this_thread::sleep_for(10ms);
+    }
+  }
+  void Answer(const std::string& frame) {
+    wire::Envelope in, out;
+    cr_assert(in.ParseFromArray(frame.data() + kFrameHeaderBytes,
+                                static_cast<int>(DecodeMessageLength(frame))));
+    Endpoint reply_to;
+    cr_assert(ParseEndpoint(in.request().reply_to(), &reply_to));
+    out.mutable_reply()->set_id(in.request().id());
+    out.mutable_reply()->set_outcome(wire::ControlReply::OK);
+    messenger_.Send(reply_to, out.SerializeAsString());
+    done_ = true;
+  }
+
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::acceptor acceptor_{io_};
+  Messenger messenger_{{}, [](std::string_view) {}};
+  std::atomic<bool> done_ = false;
+  std::thread thread_;
+};
+
 // A client with its messenger and the io_context that its coroutines run on.
 class ClientFixture {
  public:
@@ -62,10 +126,13 @@
   ~ClientFixture() { messenger_.StopReceiving(); }
 
   ControlOutcome Call(Duration timeout) {
+    wire::Command command;
+    command.mutable_version_publish()->set_version(3);
+    return Call(timeout, command);
+  }
+  ControlOutcome Call(Duration timeout, const wire::Command& command) {
     ControlOutcome outcome;
     Spawn(io_, [&](Yield yield) {
-      wire::Command command;
-      command.mutable_version_publish()->set_version(3);
       outcome = client_.Call(yield, command, Clock::now() + timeout);
     });
     io_.run();
@@ -186,6 +253,20 @@
             Describe(answer.attempts).c_str());
 }
 
+// The transfer of a large request took longer than an attempt, at whose end the
+// connection was reset, so that it never arrived.
+Test(control_client,
+     a_request_whose_transfer_outlasts_an_attempt_arrives,
+     .timeout = 60) {
+  constexpr size_t kBytes = 8UL * 1024 * 1024;
+  const Endpoint address = FreeEndpoint();
+  SlowReplica replica(address);
+  ClientFixture fixture({address});
+  wire::Command command;
+  command.mutable_version_publish()->set_pool(std::string(kBytes, 'x'));
+  cr_assert(fixture.Call(50s, command).certainty == ControlCertainty::kDone);
+}
+
 Test(control_client, hello_keeps_only_the_newest_reply) {
   const Endpoint address = FreeEndpoint();
   std::atomic<int> older_replies = 0;
