--- a/tests/process/consensus_simulation.cc
+++ b/tests/process/consensus_simulation.cc
@@ -222,20 +222,26 @@
 bool ConsensusSimulation::Propose() {
   bool taken = false;
   for (size_t i = 0; i < nodes_.size(); ++i) {
-    Node& node = nodes_[i];
-    if (!node.consensus || node.frozen) {
-      continue;
-    }
-    const std::string command = fmt::format("c{}", ++commands_);
-    if (const auto index = node.consensus->Propose(command, now(i))) {
-      node.proposed[index.value()] = {node.consensus->term(), command};
-      TakeActions(i);
-      taken = true;
-    }
+    taken |= ProposeAt(i).has_value();
   }
   return taken;
 }
 
+std::optional<std::string> ConsensusSimulation::ProposeAt(size_t replica) {
+  Node& node = nodes_[replica];
+  if (!node.consensus || node.frozen) {
+    return std::nullopt;
+  }
+  const std::string command = fmt::format("c{}", ++commands_);
+  const auto index = node.consensus->Propose(command, now(replica));
+  if (!index) {
+    return std::nullopt;
+  }
+  node.proposed[index.value()] = {node.consensus->term(), command};
+  TakeActions(replica);
+  return command;
+}
+
 void ConsensusSimulation::Compact(size_t replica) {
   Node& node = nodes_[replica];
   if (node.consensus && !node.frozen) {
--- a/tests/process/consensus_simulation.h
+++ b/tests/process/consensus_simulation.h
@@ -64,6 +64,9 @@
   }
   // Proposes a command at every replica; true if at least one accepted it.
   bool Propose();
+  // Proposes a command at one replica and returns it; nullopt if the replica
+  // did not accept it.
+  std::optional<std::string> ProposeAt(size_t replica);
   void Compact(size_t replica);
 
   bool up(size_t replica) const { return nodes_[replica].consensus != nullptr; }
