--- a/src/limpethatch/connection/internal/control_retry.h
+++ b/src/limpethatch/connection/internal/control_retry.h
@@ -50,6 +50,10 @@
 
 // The state of one call. The caller passes replies to OnReply and performs the
 // actions that Next returns until one is kFinish.
+//
+// Asked first is a leader that the latest refusal or the caller names, then the
+// responsive replicas, then the others, then once more a named leader that did
+// not answer. A pause follows when all that are left have refused.
 class ControlRetry {
  public:
   explicit ControlRetry(ControlRetryOptions options);
--- a/src/limpethatch/connection/internal/outbound_messages.h
+++ b/src/limpethatch/connection/internal/outbound_messages.h
@@ -26,6 +26,7 @@
   OutboundMessages(boost::asio::io_context& io, MessengerOptions options);
 
   void Send(const Endpoint& endpoint, std::string_view message);
+  // Like Messenger::Reset.
   void Reset(const Endpoint& endpoint, TimePoint stalled_since);
   // Must be called on the thread of `io`, or once nothing runs on `io` any
   // more.
